--- /dev/null
+++ b/cmd/peridotrailctl/main.go
@@ -0,0 +1,4 @@
+// Command peridotrailctl is part of peridotrail.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/peridotraild/main.go
@@ -0,0 +1,4 @@
+// Command peridotraild is part of peridotrail.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/configuration/model.go
@@ -0,0 +1,142 @@
+// Package configuration holds the operators' configuration: its types, the
+// merge of a folder of files, its validation and its revisions.
+package configuration
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Revision numbers the accepted configurations. It never decreases.
+type Revision uint64
+
+// Configuration is one complete, validated configuration. It is immutable once
+// it has been accepted.
+type Configuration struct {
+	Regions        []Region        `json:"regions,omitempty"`
+	FailureDomains []FailureDomain `json:"failureDomains,omitempty"`
+	ClientAccounts []ClientAccount `json:"clientAccounts,omitempty"`
+	Services       []Service       `json:"services,omitempty"`
+	Upstreams      []Upstream      `json:"upstreams,omitempty"`
+	Routes         []Route         `json:"routes,omitempty"`
+	ClientBlocks   []ClientBlock   `json:"clientBlocks,omitempty"`
+	Drains         []Drain         `json:"drains,omitempty"`
+	Shifts         []Shift         `json:"shifts,omitempty"`
+	Objectives     []Objective     `json:"objectives,omitempty"`
+}
+
+// Region is a group of failure domains that are close to each other.
+type Region struct {
+	Name string `json:"name"`
+	// EgressBytesPerSecond bounds the bytes that one region sends to another.
+	// Zero means no bound.
+	EgressBytesPerSecond int64 `json:"egressBytesPerSecond,omitempty"`
+}
+
+// FailureDomain is a set of hosts and upstreams that fail together.
+type FailureDomain struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	// Dead is the operators' word that no process of the domain runs any more.
+	Dead bool `json:"dead,omitempty"`
+}
+
+// ClientAccount is a tenant with its keys and its rate over the whole fleet.
+type ClientAccount struct {
+	Name   string  `json:"name"`
+	Rate   float64 `json:"rate"`             // requests per second
+	Burst  int     `json:"burst"`            // requests
+	Weight int     `json:"weight,omitempty"` // share under shortage; 1 if zero
+	Keys   []Key   `json:"keys,omitempty"`
+}
+
+// Key is the digest of one key of a client account. The key itself is never stored.
+type Key struct {
+	ID     string `json:"id"`
+	Digest string `json:"digest"` // SHA-256 in lower-case hexadecimal
+}
+
+// Service is a named application that upstreams serve.
+type Service struct {
+	Name               string   `json:"name"`
+	MaxDeadline        Duration `json:"maxDeadline,omitempty"`        // upper bound of a request's deadline
+	DefaultDeadline    Duration `json:"defaultDeadline,omitempty"`    // deadline of a request that names none
+	ConnectionOpenTime Duration `json:"connectionOpenTime,omitempty"` // cost of a new connection to an upstream
+	ProbeTime          Duration `json:"probeTime,omitempty"`          // time that a probe occupies a slot
+	HealthPath         string   `json:"healthPath,omitempty"`
+	LoadPath           string   `json:"loadPath,omitempty"`
+}
+
+// Upstream is one worker of a service.
+type Upstream struct {
+	Name          string         `json:"name"`
+	Service       string         `json:"service"`
+	FailureDomain string         `json:"failureDomain"`
+	Address       netip.AddrPort `json:"address"`
+	Slots         int            `json:"slots"`       // requests served at the same time
+	Connections   int            `json:"connections"` // connections over all hosts together
+}
+
+// Priority orders routes under shortage.
+type Priority string
+
+// Route priorities.
+const (
+	PriorityNormal Priority = "normal"
+	PriorityAlert  Priority = "alert"
+)
+
+// Route gives the policy for requests whose path begins with Prefix. The longest
+// matching prefix wins.
+type Route struct {
+	Service    string   `json:"service"`
+	Prefix     string   `json:"prefix"`               // path below /SERVICE, begins with "/"
+	Open       bool     `json:"open,omitempty"`       // no key is required
+	Idempotent *bool    `json:"idempotent,omitempty"` // overrides the method's own property
+	Priority   Priority `json:"priority,omitempty"`
+}
+
+// ClientBlock assigns a block of client addresses to failure domains, nearest first.
+type ClientBlock struct {
+	Prefix  netip.Prefix `json:"prefix"`
+	Domains []string     `json:"domains"`
+}
+
+// DrainKind says what a drain empties.
+type DrainKind string
+
+// Kinds of drain.
+const (
+	DrainUpstream      DrainKind = "upstream"
+	DrainHost          DrainKind = "host"
+	DrainFailureDomain DrainKind = "failure-domain"
+	DrainRegion        DrainKind = "region"
+)
+
+// Drain is a planned stop: its target gets no new work from Start on.
+type Drain struct {
+	Name   string    `json:"name"`
+	Kind   DrainKind `json:"kind"`
+	Target string    `json:"target"`
+	Start  time.Time `json:"start,omitempty"` // at once if zero
+}
+
+// Shift moves callers from one failure domain to another in bounded steps.
+type Shift struct {
+	Name     string   `json:"name"`
+	From     string   `json:"from"`     // failure domain
+	To       string   `json:"to"`       // failure domain
+	Share    float64  `json:"share"`    // share of From's callers to move, from 0 to 1
+	Cap      float64  `json:"cap"`      // largest share moved per Interval, summed over all hosts
+	Interval Duration `json:"interval"` // time between steps
+}
+
+// Objective is a service-level objective for a service, a client account or both.
+type Objective struct {
+	Name    string   `json:"name"`
+	Service string   `json:"service,omitempty"`
+	Account string   `json:"account,omitempty"`
+	Target  float64  `json:"target"`            // share of good requests, between 0 and 1
+	Latency Duration `json:"latency,omitempty"` // slower requests are bad; unbounded if zero
+	Window  Duration `json:"window"`            // period over which the error budget is counted
+}
