--- /dev/null
+++ b/internal/fleet/transport_test.go
@@ -0,0 +1,245 @@
+package fleet_test
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"peridotrail/internal/fleet"
+	"peridotrail/internal/fleet/keys"
+	"peridotrail/internal/host"
+)
+
+type ping struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+type codedError struct{}
+
+func (codedError) Error() string     { return "no room" }
+func (codedError) FleetCode() string { return "no-room" }
+
+// process is one transport that runs until the test ends.
+type process struct {
+	*fleet.Transport
+	stop func()
+}
+
+func (p process) addr() netip.AddrPort { return p.Self().Fleet }
+
+type setup struct {
+	id          host.ID
+	domain      string
+	name        keys.Name // in the certificate; the identity's if empty
+	source      keys.Source
+	incarnation host.Incarnation
+	listen      netip.AddrPort
+	frame       int
+	calls       int
+	filter      func(netip.AddrPort) bool
+	configure   func(*fleet.Transport)
+}
+
+func authority(t *testing.T) *keys.Authority {
+	t.Helper()
+	created, err := keys.Ephemeral()
+	require.NoError(t, err)
+	return created
+}
+
+func start(t *testing.T, ca *keys.Authority, s setup) process {
+	t.Helper()
+	if s.domain == "" {
+		s.domain = "toronto"
+	}
+	if s.name == (keys.Name{}) {
+		s.name = keys.Name{Host: s.id, FailureDomain: s.domain}
+	}
+	if s.source == nil {
+		material, err := ca.Material(s.name)
+		require.NoError(t, err)
+		s.source = keys.NewHolder(material)
+	}
+	if s.incarnation == 0 {
+		s.incarnation = 1
+	}
+	if !s.listen.IsValid() {
+		s.listen = netip.MustParseAddrPort("127.0.0.1:0")
+	}
+	transport, err := fleet.New(fleet.Options{
+		Self:            host.Identity{ID: s.id, Incarnation: s.incarnation, FailureDomain: s.domain},
+		Listen:          s.listen,
+		TLS:             s.source,
+		MaxFrameSize:    s.frame,
+		MaxCallsPerPeer: s.calls,
+		Filter:          s.filter,
+	})
+	require.NoError(t, err)
+	transport.Handle("echo", func(_ context.Context, from host.Identity, decode fleet.Decoder) (any, error) {
+		var in ping
+		if err := decode(&in); err != nil {
+			return nil, err
+		}
+		return ping{Text: string(from.ID) + ":" + in.Text}, nil
+	})
+	transport.Handle("fail", func(context.Context, host.Identity, fleet.Decoder) (any, error) { return nil, codedError{} })
+	transport.Handle("panic", func(context.Context, host.Identity, fleet.Decoder) (any, error) { panic("boom") })
+	transport.Handle("wait", func(ctx context.Context, _ host.Identity, _ fleet.Decoder) (any, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	if s.configure != nil {
+		s.configure(transport)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = transport.Run(ctx) })
+	stop := func() {
+		cancel()
+		running.Wait()
+	}
+	t.Cleanup(stop)
+	return process{Transport: transport, stop: stop}
+}
+
+func call(t *testing.T, from process, to netip.AddrPort, kind fleet.Kind, request any) (ping, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var reply ping
+	err := from.Call(ctx, to, kind, request, &reply)
+	return reply, err
+}
+
+func TestCall(t *testing.T) {
+	ca := authority(t)
+	a := start(t, ca, setup{id: "a"})
+	b := start(t, ca, setup{id: "b", domain: "detroit", frame: 4096})
+	large := ping{Text: strings.Repeat("x", 8192)}
+	cases := []struct {
+		name    string
+		to      netip.AddrPort
+		kind    fleet.Kind
+		request any
+		want    string
+		fails   fleet.ErrorKind
+		code    string
+	}{
+		{name: "answered", to: b.addr(), kind: "echo", request: ping{Text: "hi"}, want: "a:hi"},
+		{name: "to itself", to: a.addr(), kind: "echo", request: ping{Text: "hi"}, want: "a:hi"},
+		{name: "handler error", to: b.addr(), kind: "fail", request: ping{}, fails: fleet.KindHandler, code: "no-room"},
+		{name: "handler panic", to: b.addr(), kind: "panic", request: ping{}, fails: fleet.KindHandler, code: fleet.CodePanic},
+		{name: "unknown kind", to: b.addr(), kind: "none", request: ping{}, fails: fleet.KindRefused, code: fleet.CodeUnknownKind},
+		{name: "not decodable", to: b.addr(), kind: "echo", request: "text", fails: fleet.KindInvalid},
+		{name: "not encodable", to: b.addr(), kind: "echo", request: func() {}, fails: fleet.KindInvalid},
+		{name: "larger than the receiver accepts", to: b.addr(), kind: "echo", request: large, fails: fleet.KindRefused},
+		{name: "answered after failures", to: b.addr(), kind: "echo", request: ping{Text: "hi"}, want: "a:hi"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			reply, err := call(t, a, test.to, test.kind, test.request)
+			if test.fails == 0 {
+				require.NoError(t, err)
+				require.Equal(t, test.want, reply.Text)
+				return
+			}
+			var failure *fleet.Error
+			require.ErrorAs(t, err, &failure)
+			require.Equal(t, test.fails.String(), failure.Kind.String())
+			require.Equal(t, test.code, failure.Code)
+		})
+	}
+}
+
+func TestCallDeadlineReachesHandler(t *testing.T) {
+	ca := authority(t)
+	ended := make(chan error, 1)
+	a := start(t, ca, setup{id: "a"})
+	b := start(t, ca, setup{id: "b", configure: func(transport *fleet.Transport) {
+		transport.Handle("wait", func(ctx context.Context, _ host.Identity, _ fleet.Decoder) (any, error) {
+			<-ctx.Done()
+			ended <- ctx.Err()
+			return nil, ctx.Err()
+		})
+	}})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	err := a.Call(ctx, b.addr(), "wait", ping{}, nil)
+	require.True(t, fleet.IsKind(err, fleet.KindTimeout), "%v", err)
+	require.Error(t, <-ended)
+}
+
+func TestIdentity(t *testing.T) {
+	ca, other := authority(t), authority(t)
+	b := start(t, ca, setup{id: "b"})
+	cases := map[string]process{
+		"wrong authority":      start(t, other, setup{id: "a"}),
+		"other host's name":    start(t, ca, setup{id: "a", name: keys.Name{Host: "c", FailureDomain: "toronto"}}),
+		"other failure domain": start(t, ca, setup{id: "a", name: keys.Name{Host: "a", FailureDomain: "detroit"}}),
+		"own name":             start(t, ca, setup{id: "b"}),
+	}
+	for name, a := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := call(t, a, b.addr(), "echo", ping{})
+			var failure *fleet.Error
+			require.ErrorAs(t, err, &failure)
+			require.True(t, failure.NotHandled(), "%v", err)
+			_, err = call(t, b, a.addr(), "echo", ping{})
+			require.ErrorAs(t, err, &failure)
+			require.True(t, failure.NotHandled(), "%v", err)
+		})
+	}
+}
+
+func TestStreamEnds(t *testing.T) {
+	ca := authority(t)
+	a := start(t, ca, setup{id: "a"})
+	b := start(t, ca, setup{id: "b", configure: func(transport *fleet.Transport) {
+		transport.HandleStream("whole", func(_ context.Context, _ host.Identity, stream fleet.Stream) {
+			_, _ = io.Copy(stream, stream)
+			_ = stream.CloseWrite()
+		})
+		transport.HandleStream("cut", func(_ context.Context, _ host.Identity, stream fleet.Stream) {
+			_, _ = io.Copy(stream, stream)
+			stream.CancelWrite(fleet.CancelFailed)
+		})
+		transport.HandleStream("return", func(_ context.Context, _ host.Identity, stream fleet.Stream) {
+			_, _ = io.Copy(stream, stream)
+		})
+		transport.HandleStream("panic", func(context.Context, host.Identity, fleet.Stream) { panic("boom") })
+	}})
+	cases := []struct {
+		kind fleet.Kind
+		code fleet.CancelCode
+	}{
+		{kind: "whole"},
+		{kind: "cut", code: fleet.CancelFailed},
+		{kind: "return", code: fleet.CancelGone},
+		{kind: "panic", code: fleet.CancelFailed},
+		{kind: "unknown", code: fleet.CancelRefused},
+	}
+	for _, test := range cases {
+		t.Run(string(test.kind), func(t *testing.T) {
+			stream, err := a.OpenStream(t.Context(), b.addr(), test.kind)
+			require.NoError(t, err)
+			defer stream.Close()
+			_, _ = stream.Write([]byte("body"))
+			_ = stream.CloseWrite()
+			body, err := io.ReadAll(stream)
+			if test.code == 0 {
+				require.NoError(t, err)
+				require.Equal(t, "body", string(body))
+				return
+			}
+			var cancelled *fleet.CancelledError
+			require.ErrorAs(t, err, &cancelled)
+			require.Equal(t, test.code, cancelled.Code)
+		})
+	}
+}
