--- /dev/null
+++ b/internal/configuration/chunk.go
@@ -0,0 +1,286 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"reflect"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+)
+
+// ChunkKind says how a chunk is encoded.
+type ChunkKind uint8
+
+// Kinds of chunk.
+const (
+	ChunkObjects ChunkKind = iota + 1 // JSON of a Configuration that holds a run of one collection
+	ChunkBlocks                       // packed client blocks, sorted by prefix
+)
+
+// Sizes of chunks. Boundaries follow from the content, so that a change of one
+// entry leaves all chunks but its own as they are.
+const (
+	maxChunkBytes      = 768 << 10
+	maxRunBytes        = 512 << 10 // a run is cut when it is longer
+	meanObjectsInChunk = 64
+	meanBlocksInChunk  = 4096
+)
+
+// Chunk is one piece of an encoded configuration.
+type Chunk struct {
+	Reference ChunkReference
+	Data      []byte
+}
+
+// ChunkReference names a chunk by its content.
+type ChunkReference struct {
+	Kind   ChunkKind `cbor:"1,keyasint"`
+	Digest Digest    `cbor:"2,keyasint"` // SHA-256 of the chunk's data
+	Size   int       `cbor:"3,keyasint"` // bytes
+}
+
+// ChunkError reports a chunk that cannot be encoded or decoded.
+type ChunkError struct {
+	Digest Digest
+	Reason ChunkFailure
+	Err    error // may be nil
+}
+
+// ChunkFailure classifies a ChunkError.
+type ChunkFailure string
+
+// Failures of chunks.
+const (
+	ChunkTooLarge ChunkFailure = "exceeds the size limit"
+	ChunkMissing  ChunkFailure = "is missing"
+	ChunkCorrupt  ChunkFailure = "does not match its digest"
+	ChunkGarbled  ChunkFailure = "cannot be decoded"
+)
+
+// Error implements error.
+func (e *ChunkError) Error() string {
+	text := "chunk " + e.Digest.String() + " " + string(e.Reason)
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the underlying failure.
+func (e *ChunkError) Unwrap() error { return e.Err }
+
+func newChunk(kind ChunkKind, data []byte) Chunk {
+	return Chunk{
+		Reference: ChunkReference{Kind: kind, Digest: sha256.Sum256(data), Size: len(data)},
+		Data:      data,
+	}
+}
+
+// Verify reports whether data is the content that the reference names.
+func (r ChunkReference) Verify(data []byte) error {
+	if len(data) != r.Size || Digest(sha256.Sum256(data)) != r.Digest {
+		return &ChunkError{Digest: r.Digest, Reason: ChunkCorrupt}
+	}
+	return nil
+}
+
+// Encode splits c into chunks. Equal configurations give equal chunks.
+func Encode(c *Configuration) ([]Chunk, error) {
+	chunks, err := encodeObjects(c)
+	if err != nil {
+		return nil, err
+	}
+	blocks, err := encodeBlocks(c)
+	if err != nil {
+		return nil, err
+	}
+	return append(chunks, blocks...), nil
+}
+
+// DigestOf returns the digest that identifies c. It panics if c holds a value
+// that has no encoding, which validation refuses.
+func DigestOf(c *Configuration) Digest {
+	chunks, err := Encode(c)
+	if err != nil {
+		panic(err)
+	}
+	return digestOfReferences(references(chunks))
+}
+
+func references(chunks []Chunk) []ChunkReference {
+	refs := make([]ChunkReference, len(chunks))
+	for i, chunk := range chunks {
+		refs[i] = chunk.Reference
+	}
+	return refs
+}
+
+func digestOfReferences(refs []ChunkReference) Digest {
+	hash := sha256.New()
+	for _, ref := range refs {
+		hash.Write([]byte{byte(ref.Kind)})
+		hash.Write(ref.Digest[:])
+	}
+	return Digest(hash.Sum(nil))
+}
+
+// encodeObjects encodes every field but the client blocks.
+func encodeObjects(c *Configuration) ([]Chunk, error) {
+	var chunks []Chunk
+	source := reflect.ValueOf(c).Elem()
+	for i := range source.NumField() {
+		field := source.Type().Field(i)
+		if !field.IsExported() || field.Name == "ClientBlocks" {
+			continue
+		}
+		encoded, err := encodeField(source.Field(i), i)
+		if err != nil {
+			return nil, err
+		}
+		chunks = append(chunks, encoded...)
+	}
+	return chunks, nil
+}
+
+// encodeField encodes the field of Configuration with the given index.
+func encodeField(value reflect.Value, index int) ([]Chunk, error) {
+	if value.IsZero() {
+		return nil, nil
+	}
+	if value.Kind() != reflect.Slice {
+		return appendRun(nil, value, index)
+	}
+	var chunks []Chunk
+	start, size := 0, 0
+	for i := range value.Len() {
+		data, err := json.Marshal(value.Index(i).Interface())
+		if err != nil {
+			return nil, &ChunkError{Reason: ChunkGarbled, Err: err}
+		}
+		size += len(data)
+		last := i == value.Len()-1
+		if last || size > maxRunBytes || xxhash.Sum64(data)%meanObjectsInChunk == 0 {
+			if chunks, err = appendRun(chunks, value.Slice(start, i+1), index); err != nil {
+				return nil, err
+			}
+			start, size = i+1, 0
+		}
+	}
+	return chunks, nil
+}
+
+// appendRun encodes a Configuration that holds only value in one of its fields.
+func appendRun(chunks []Chunk, value reflect.Value, index int) ([]Chunk, error) {
+	var run Configuration
+	reflect.ValueOf(&run).Elem().Field(index).Set(value)
+	data, err := json.Marshal(&run)
+	if err != nil {
+		return nil, &ChunkError{Reason: ChunkGarbled, Err: err}
+	}
+	return appendChunk(chunks, newChunk(ChunkObjects, data))
+}
+
+func appendChunk(chunks []Chunk, chunk Chunk) ([]Chunk, error) {
+	if len(chunk.Data) > maxChunkBytes {
+		return nil, &ChunkError{Digest: chunk.Reference.Digest, Reason: ChunkTooLarge}
+	}
+	return append(chunks, chunk), nil
+}
+
+// Assemble joins chunks into a configuration, in the order of refs. Fetch
+// returns the data of a chunk, or nil if it is missing.
+func Assemble(refs []ChunkReference, fetch func(Digest) []byte) (*Configuration, error) {
+	c := &Configuration{}
+	interned := newInterner()
+	for _, ref := range refs {
+		data := fetch(ref.Digest)
+		if data == nil {
+			return nil, &ChunkError{Digest: ref.Digest, Reason: ChunkMissing}
+		}
+		if err := ref.Verify(data); err != nil {
+			return nil, err
+		}
+		if err := c.addChunk(ref, data, interned); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Configuration) addChunk(ref ChunkReference, data []byte, interned *interner) error {
+	var err error
+	switch ref.Kind {
+	case ChunkObjects:
+		err = c.addObjects(data)
+	case ChunkBlocks:
+		err = c.addBlocks(data, interned)
+	default:
+		err = &UnknownChunkKindError{Kind: ref.Kind}
+	}
+	if err != nil {
+		return &ChunkError{Digest: ref.Digest, Reason: ChunkGarbled, Err: err}
+	}
+	return nil
+}
+
+// UnknownChunkKindError reports a chunk of a kind that this version cannot read.
+type UnknownChunkKindError struct {
+	Kind ChunkKind
+}
+
+// Error implements error.
+func (e *UnknownChunkKindError) Error() string {
+	return "chunk kind " + string('0'+rune(e.Kind)) + " is unknown"
+}
+
+func (c *Configuration) addObjects(data []byte) error {
+	var run Configuration
+	if err := json.Unmarshal(data, &run); err != nil {
+		return errors.Wrap(err, "objects")
+	}
+	from := reflect.ValueOf(&run).Elem()
+	into := reflect.ValueOf(c).Elem()
+	for i := range from.NumField() {
+		field := from.Field(i)
+		switch {
+		case !from.Type().Field(i).IsExported() || field.IsZero():
+		case field.Kind() == reflect.Slice:
+			into.Field(i).Set(reflect.AppendSlice(into.Field(i), field))
+		default:
+			into.Field(i).Set(field)
+		}
+	}
+	return nil
+}
+
+// blockRun is the CBOR form of a run of client blocks.
+type blockRun struct {
+	Domains []string `cbor:"1,keyasint"`           // names of failure domains
+	Lists   [][]byte `cbor:"2,keyasint"`           // each an order of indexes into Domains
+	V4      []byte   `cbor:"3,keyasint,omitempty"` // records of IPv4 prefixes
+	V6      []byte   `cbor:"4,keyasint,omitempty"` // records of IPv6 prefixes
+}
+
+var decodeMode = mustDecodeMode()
+
+func mustDecodeMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 20}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// sortedBlocks returns the client blocks sorted by prefix.
+func sortedBlocks(c *Configuration) []ClientBlock {
+	compare := func(a, b ClientBlock) int { return comparePrefixes(a.Prefix, b.Prefix) }
+	if slices.IsSortedFunc(c.ClientBlocks, compare) {
+		return c.ClientBlocks
+	}
+	blocks := slices.Clone(c.ClientBlocks)
+	slices.SortFunc(blocks, compare)
+	return blocks
+}
--- /dev/null
+++ b/internal/configuration/main_test.go
@@ -0,0 +1,16 @@
+package configuration
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of randomised tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
--- a/internal/configuration/model.go
+++ b/internal/configuration/model.go
@@ -23,6 +23,8 @@
 	Drains         []Drain         `json:"drains,omitempty"`
 	Shifts         []Shift         `json:"shifts,omitempty"`
 	Objectives     []Objective     `json:"objectives,omitempty"`
+	WithdrawnKeys  []WithdrawnKey  `json:"withdrawnKeys,omitempty"`
+	StaleKeys      *StaleKeys      `json:"staleKeys,omitempty"`
 }
 
 // Region is a group of failure domains that are close to each other.
@@ -56,6 +58,29 @@
 	Digest string `json:"digest"` // SHA-256 in lower-case hexadecimal
 }
 
+// WithdrawnKey withdraws a key of a client account. It overrides the grant of
+// the key, whichever file of the folder comes first.
+type WithdrawnKey struct {
+	Account string `json:"account"`
+	Key     string `json:"key"` // ID of the key
+}
+
+// StaleKeyPolicy says what a cut-off host does with keyed requests.
+type StaleKeyPolicy string
+
+// Policies for keys that may have been withdrawn without this host's knowledge.
+const (
+	StaleKeyServe  StaleKeyPolicy = "serve"
+	StaleKeyRefuse StaleKeyPolicy = "refuse"
+)
+
+// StaleKeys bounds how long keys are trusted in a failure domain that has had
+// contact with neither the store nor any other failure domain.
+type StaleKeys struct {
+	Policy StaleKeyPolicy `json:"policy"`
+	Age    Duration       `json:"age,omitempty"` // time without contact after which Policy applies; required for "refuse"
+}
+
 // Service is a named application that upstreams serve.
 type Service struct {
 	Name               string   `json:"name"`
