Add the store stand-in and the HTTP store adapter

Change: in-memory store with compare-and-swap, leases, watches, host list and switchable faults, direct or over HTTP; client adapter that maps failures to platform.Error kinds and repeats reads only. Tested: go test -race ./internal/standin/... ./internal/platform/... Conclusion: usable as platform.Store directly and through a socket.

--- /dev/null
+++ b/internal/platform/httpstore/httpstore.go
@@ -0,0 +1,118 @@
+// Package httpstore is a platform.Store that talks JSON over HTTP.
+package httpstore
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"peridotrail/internal/platform"
+)
+
+const (
+	defaultTimeout  = 2 * time.Second
+	defaultAttempts = 3
+	idleTimeout     = 30 * time.Second
+	idleConnections = 4
+)
+
+// Client is a platform.Store reached over HTTP. It is safe for concurrent use.
+type Client struct {
+	endpoints []string // base URLs, used in turn
+	current   atomic.Uint32
+	http      *http.Client
+	timeout   time.Duration
+	attempts  int // tries of one read, the first included
+	host      string
+	domain    string
+	budget    *retryBudget
+}
+
+var _ platform.Store = (*Client)(nil)
+
+// Option changes a setting of a Client.
+type Option func(*Client)
+
+// WithTimeout bounds one attempt of a call. A watch may take its wait longer.
+func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
+
+// WithAttempts sets how often a failed read is tried in total.
+func WithAttempts(n int) Option { return func(c *Client) { c.attempts = max(n, 1) } }
+
+// WithCaller names the calling host and its failure domain to the store.
+func WithCaller(host, failureDomain string) Option {
+	return func(c *Client) { c.host, c.domain = host, failureDomain }
+}
+
+// New returns a client for a store with the given base URLs, at least one.
+func New(endpoints []string, opts ...Option) *Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	c := &Client{
+		endpoints: endpoints,
+		http:      &http.Client{Transport: transport},
+		timeout:   defaultTimeout,
+		attempts:  defaultAttempts,
+		budget:    newRetryBudget(),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements platform.Store.
+func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+	answer, err := c.read(ctx, call{"get", key, PathGet, KeyRequest{key}, c.timeout})
+	return answer.Entry, err
+}
+
+// List implements platform.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	answer, err := c.read(ctx, call{"list", prefix, PathList, KeyRequest{prefix}, c.timeout})
+	return answer.Entries, err
+}
+
+// CompareAndSwap implements platform.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, w platform.Write) (platform.Entry, error) {
+	answer, err := c.write(ctx, call{"compare-and-swap", w.Key, PathCompareAndSwap, w, c.timeout})
+	return answer.Entry, err
+}
+
+// Grant implements platform.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	answer, err := c.write(ctx, call{"grant", "", PathGrant, LeaseRequest{TTL: ttl}, c.timeout})
+	return answer.Lease, err
+}
+
+// Renew implements platform.Store.
+func (c *Client) Renew(ctx context.Context, id platform.LeaseID) error {
+	_, err := c.write(ctx, call{"renew", "", PathRenew, LeaseRequest{ID: id}, c.timeout})
+	return err
+}
+
+// Revoke implements platform.Store.
+func (c *Client) Revoke(ctx context.Context, id platform.LeaseID) error {
+	_, err := c.write(ctx, call{"revoke", "", PathRevoke, LeaseRequest{ID: id}, c.timeout})
+	return err
+}
+
+// Watch implements platform.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Entry, platform.Revision, error) {
+	request := WatchRequest{Prefix: prefix, After: after, Wait: wait}
+	answer, err := c.read(ctx, call{"watch", prefix, PathWatch, request, c.timeout + wait})
+	return answer.Entries, answer.Revision, err
+}
+
+// Hosts implements platform.Store.
+func (c *Client) Hosts(ctx context.Context) ([]platform.HostRecord, error) {
+	answer, err := c.read(ctx, call{"hosts", "", PathHosts, struct{}{}, c.timeout})
+	return answer.Hosts, err
+}
--- /dev/null
+++ b/internal/platform/httpstore/wire.go
@@ -0,0 +1,52 @@
+package httpstore
+
+import (
+	"time"
+
+	"peridotrail/internal/platform"
+)
+
+// Paths of the protocol. Every call is a POST with a JSON body.
+const (
+	PathGet            = "/v1/store/get"
+	PathList           = "/v1/store/list"
+	PathCompareAndSwap = "/v1/store/compare-and-swap"
+	PathGrant          = "/v1/store/grant"
+	PathRenew          = "/v1/store/renew"
+	PathRevoke         = "/v1/store/revoke"
+	PathWatch          = "/v1/store/watch"
+	PathHosts          = "/v1/store/hosts"
+)
+
+// Request headers that name the caller.
+const (
+	HeaderHost          = "Peridotrail-Host"
+	HeaderFailureDomain = "Peridotrail-Failure-Domain"
+)
+
+// KeyRequest is the body of PathGet and, with a prefix as its key, of PathList.
+type KeyRequest struct {
+	Key string `json:"key"`
+}
+
+// LeaseRequest is the body of PathGrant, PathRenew and PathRevoke.
+type LeaseRequest struct {
+	ID  platform.LeaseID `json:"id,omitempty"`
+	TTL time.Duration    `json:"ttl,omitempty"` // nanoseconds; PathGrant only
+}
+
+// WatchRequest is the body of PathWatch.
+type WatchRequest struct {
+	Prefix string            `json:"prefix"`
+	After  platform.Revision `json:"after"`
+	Wait   time.Duration     `json:"wait"` // nanoseconds
+}
+
+// Response is the body of every answer; the fields that a call does not use are empty.
+type Response struct {
+	Entry    platform.Entry        `json:"entry,omitzero"`
+	Entries  []platform.Entry      `json:"entries,omitempty"`
+	Revision platform.Revision     `json:"revision,omitempty"`
+	Lease    platform.LeaseID      `json:"lease,omitempty"`
+	Hosts    []platform.HostRecord `json:"hosts,omitempty"`
+}
--- /dev/null
+++ b/internal/standin/store/lease.go
@@ -0,0 +1,72 @@
+package store
+
+import (
+	"time"
+
+	"peridotrail/internal/platform"
+)
+
+// lease ends at its deadline unless it is renewed.
+type lease struct {
+	ttl      time.Duration
+	deadline time.Time
+}
+
+// grant creates a lease. The caller holds mu.
+func (s *Store) grant(ttl time.Duration) (platform.LeaseID, error) {
+	if ttl <= 0 {
+		return 0, failure(platform.KindInvalid, opGrant, "")
+	}
+	s.lastLease++
+	s.leases[s.lastLease] = &lease{ttl: ttl, deadline: s.now().Add(ttl)}
+	return s.lastLease, nil
+}
+
+// renew extends a lease. The caller holds mu.
+func (s *Store) renew(id platform.LeaseID) error {
+	l := s.leases[id]
+	if l == nil {
+		return failure(platform.KindLeaseExpired, opRenew, "")
+	}
+	l.deadline = s.now().Add(l.ttl)
+	return nil
+}
+
+// revoke ends a lease and deletes its keys. The caller holds mu.
+func (s *Store) revoke(id platform.LeaseID) error {
+	if s.leases[id] == nil {
+		return failure(platform.KindLeaseExpired, opRevoke, "")
+	}
+	s.end(id)
+	return nil
+}
+
+// end removes a lease with its keys. The caller holds mu.
+func (s *Store) end(id platform.LeaseID) {
+	delete(s.leases, id)
+	for key, r := range s.records {
+		if r.entry.Exists() && r.entry.Lease == id {
+			s.remove(key)
+		}
+	}
+}
+
+// expire ends the leases whose deadline has passed. The caller holds mu.
+func (s *Store) expire() {
+	now := s.now()
+	for id, l := range s.leases {
+		if !l.deadline.After(now) {
+			s.end(id)
+		}
+	}
+}
+
+// untilExpiry returns the time to the next lease deadline, at most limit. The
+// caller holds mu.
+func (s *Store) untilExpiry(limit time.Duration) time.Duration {
+	now := s.now()
+	for _, l := range s.leases {
+		limit = min(limit, l.deadline.Sub(now))
+	}
+	return max(limit, time.Millisecond)
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,154 @@
+// Package store is an in-memory stand-in for the platform's key-value store and
+// host list, with faults that a test switches on while it runs.
+package store
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"peridotrail/internal/platform"
+)
+
+// record is one key with the revision and time of its last change. A deleted key
+// keeps its record so that watches see the deletion.
+type record struct {
+	entry   platform.Entry
+	changed platform.Revision
+	at      time.Time
+}
+
+type hostList struct {
+	at    time.Time
+	hosts []platform.HostRecord
+}
+
+// Store holds the data. It implements platform.Store for a caller without a
+// name; Client gives the view of a named caller. It is safe for concurrent use.
+type Store struct {
+	now func() time.Time
+
+	mu        sync.Mutex // guards all below
+	revision  platform.Revision
+	records   map[string]record
+	leases    map[platform.LeaseID]*lease
+	lastLease platform.LeaseID
+	hosts     []hostList
+	faults    faults
+	calls     Calls
+	changed   chan struct{} // closed and replaced on each change
+}
+
+// Option changes a setting of a Store.
+type Option func(*Store)
+
+// WithClock replaces time.Now. Waiting watches still end by the runtime's timers.
+func WithClock(now func() time.Time) Option { return func(s *Store) { s.now = now } }
+
+// New returns an empty store without faults.
+func New(opts ...Option) *Store {
+	s := &Store{
+		now:     time.Now,
+		records: map[string]record{},
+		leases:  map[platform.LeaseID]*lease{},
+		changed: make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// SetHosts replaces the platform's list of hosts.
+func (s *Store) SetHosts(hosts []platform.HostRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = append(s.hosts, hostList{at: s.now(), hosts: slices.Clone(hosts)})
+}
+
+// Calls returns the number of calls received so far.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// get returns the current entry. The caller holds mu.
+func (s *Store) get(key string) platform.Entry {
+	entry := s.records[key].entry
+	entry.Key = key
+	return entry
+}
+
+// list returns the entries under prefix. The caller holds mu.
+func (s *Store) list(prefix string) []platform.Entry {
+	var entries []platform.Entry
+	for key, r := range s.records {
+		if strings.HasPrefix(key, prefix) && r.entry.Exists() {
+			entries = append(entries, r.entry)
+		}
+	}
+	sortEntries(entries)
+	return entries
+}
+
+func sortEntries(entries []platform.Entry) {
+	slices.SortFunc(entries, func(a, b platform.Entry) int { return cmp.Compare(a.Key, b.Key) })
+}
+
+// compareAndSwap applies w. The caller holds mu.
+func (s *Store) compareAndSwap(w platform.Write) (platform.Entry, error) {
+	if w.Key == "" || len(w.Value) > platform.MaxValueSize {
+		return platform.Entry{}, failure(platform.KindInvalid, opCompareAndSwap, w.Key)
+	}
+	current := s.get(w.Key)
+	if current.Revision != w.Expected {
+		return current, failure(platform.KindConflict, opCompareAndSwap, w.Key)
+	}
+	if w.Lease != 0 && s.leases[w.Lease] == nil {
+		return current, failure(platform.KindLeaseExpired, opCompareAndSwap, w.Key)
+	}
+	if w.Delete {
+		s.remove(w.Key)
+		return platform.Entry{Key: w.Key}, nil
+	}
+	s.revision++
+	entry := platform.Entry{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision, Lease: w.Lease}
+	s.put(entry)
+	return entry, nil
+}
+
+// put stores entry as changed at the store's revision. The caller holds mu.
+func (s *Store) put(entry platform.Entry) {
+	s.records[entry.Key] = record{entry: entry, changed: s.revision, at: s.now()}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// remove deletes key. The caller holds mu.
+func (s *Store) remove(key string) {
+	s.revision++
+	s.put(platform.Entry{Key: key})
+}
+
+// currentHosts returns the list that is old enough for the lag. The caller holds mu.
+func (s *Store) currentHosts() []platform.HostRecord {
+	limit := s.now().Add(-s.faults.hostListLag)
+	for _, list := range slices.Backward(s.hosts) {
+		if !list.at.After(limit) {
+			return list.hosts
+		}
+	}
+	return nil
+}
+
+// Keys returns the sorted names of all keys that hold a value.
+func (s *Store) Keys() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keys := slices.Sorted(maps.Keys(s.records))
+	return slices.DeleteFunc(keys, func(key string) bool { return !s.records[key].entry.Exists() })
+}
