--- /dev/null
+++ b/internal/steering/lookup_test.go
@@ -0,0 +1,82 @@
+package steering
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"runtime"
+	"testing"
+
+	"peridotrail/internal/configuration"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestTableFindsTheLongestPrefix(t *testing.T) {
+	table := NewTable([]configuration.ClientBlock{
+		{Prefix: netip.MustParsePrefix("10.0.0.0/8"), Domains: []string{"toronto"}},
+		{Prefix: netip.MustParsePrefix("10.1.0.0/16"), Domains: []string{"detroit", "lansing"}},
+		{Prefix: netip.MustParsePrefix("2001:db8::/32"), Domains: []string{"cleveland"}},
+	})
+	for _, c := range []struct {
+		address string
+		domains []string
+	}{
+		{"10.2.3.4", []string{"toronto"}},
+		{"10.1.3.4", []string{"detroit", "lansing"}},
+		{"::ffff:10.1.3.4", []string{"detroit", "lansing"}},
+		{"2001:db8::1", []string{"cleveland"}},
+		{"192.0.2.1", nil},
+	} {
+		domains, ok := table.Lookup(netip.MustParseAddr(c.address))
+		require.Equal(t, c.domains != nil, ok, c.address)
+		require.Equal(t, c.domains, domains, c.address)
+	}
+}
+
+func TestTableLookupDoesNotAllocate(t *testing.T) {
+	table := NewTable(makeBlocks(1000))
+	address := netip.MustParseAddr("1.0.3.4")
+	require.Zero(t, testing.AllocsPerRun(100, func() { table.Lookup(address) }))
+}
+
+// makeBlocks returns n blocks of mixed lengths without repetition.
+func makeBlocks(n int) []configuration.ClientBlock {
+	lists := [][]string{{"a", "b"}, {"b", "c"}, {"c", "a"}}
+	blocks := make([]configuration.ClientBlock, n)
+	for i := range blocks {
+		var raw [4]byte
+		binary.BigEndian.PutUint32(raw[:], 1<<24+uint32(i)<<10)
+		bits := 22 + i%3
+		blocks[i].Prefix = netip.PrefixFrom(netip.AddrFrom4(raw), bits)
+		blocks[i].Domains = lists[i%len(lists)]
+	}
+	return blocks
+}
+
+const fleetBlocks = 2_300_000
+
+func BenchmarkTableLookup(b *testing.B) {
+	blocks := makeBlocks(fleetBlocks)
+	before := heapInUse()
+	table := NewTable(blocks)
+	size := heapInUse() - before
+	addresses := make([]netip.Addr, 4096)
+	for i := range addresses {
+		addresses[i] = blocks[(i*7919*31)%len(blocks)].Prefix.Addr()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := 0; b.Loop(); i++ {
+		table.Lookup(addresses[i%len(addresses)])
+	}
+	b.ReportMetric(float64(size)/1e6, "MB")
+	runtime.KeepAlive(blocks)
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
