Relay HTTP requests to other hosts

Cause: requests that must run in another failure domain go to a host there. Change: fleet/relay carries one request and its answer over a stream, with cancellation both ways, typed errors that tell what was certainly not sent or not run, and cut bodies that arrive as errors. fleettest.Start for QUIC tests. Tested: go test -race -count=3 ./internal/fleet/... passes (2.8 s). Conclusion: usable by the entry.

--- a/internal/fleet/fleettest/network.go
+++ b/internal/fleet/fleettest/network.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-
 	"hash/fnv"
 	"math/rand/v2"
 	"net/netip"
--- a/internal/fleet/fleettest/network_test.go
+++ b/internal/fleet/fleettest/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,10 +46,9 @@
 				network := New(1)
 				a := network.Join(identity("a", "toronto", 1))
 				b := network.Join(identity("b", "detroit", 2))
-				handled := 0
+				var handled atomic.Int64
 				b.Handle("count", func(context.Context, host.Identity, fleet.Decoder) (any, error) {
-					handled++
-					return handled, nil
+					return handled.Add(1), nil
 				})
 				test.set(network, b)
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -56,7 +56,7 @@
 				var reply int
 				err := a.Call(ctx, b.Self().Fleet, "count", struct{}{}, &reply)
 				synctest.Wait()
-				require.Equal(t, test.handled, handled)
+				require.Equal(t, test.handled, int(handled.Load()))
 				if test.kind == 0 {
 					require.NoError(t, err)
 					return
--- /dev/null
+++ b/internal/fleet/relay/relay_test.go
@@ -0,0 +1,248 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"peridotrail/internal/fleet"
+	"peridotrail/internal/fleet/fleettest"
+	"peridotrail/internal/fleet/relay"
+	"peridotrail/internal/host"
+)
+
+func pair(t *testing.T, handler http.HandlerFunc) (*relay.Client, *fleettest.Process) {
+	t.Helper()
+	ca := fleettest.Authority(t)
+	a := fleettest.Start(t, ca, fleet.Options{Self: host.Identity{ID: "a", FailureDomain: "toronto"}})
+	b := fleettest.Start(t, ca, fleet.Options{Self: host.Identity{ID: "b", FailureDomain: "detroit"}},
+		func(transport *fleet.Transport) {
+			server := &relay.Server{Handler: handler}
+			server.Register(transport)
+		})
+	return &relay.Client{Streams: a}, b
+}
+
+func request(t *testing.T, ctx context.Context, method, uri string, body io.Reader) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, method, uri, body)
+	require.NoError(t, err)
+	return r
+}
+
+func TestWholeExchange(t *testing.T) {
+	client, b := pair(t, func(w http.ResponseWriter, r *http.Request) {
+		incoming, ok := relay.FromContext(r.Context())
+		body, err := io.ReadAll(r.Body)
+		_, deadline := r.Context().Deadline()
+		if !ok || err != nil || !deadline || incoming.From.ID != "a" || incoming.Metadata.Account != "clinic" {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("X-Seen", r.Method+" "+r.RequestURI+" "+r.Header.Get("X-Sent"))
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = w.Write(body)
+	})
+	long := strings.Repeat("0123456789", 100_000)
+	cases := []struct {
+		name string
+		body io.Reader
+		want string
+	}{
+		{name: "no body"},
+		{name: "short body", body: strings.NewReader("hello"), want: "hello"},
+		{name: "long body", body: strings.NewReader(long), want: long},
+		{name: "body of unknown length", body: io.MultiReader(strings.NewReader("hel"), strings.NewReader("lo")), want: "hello"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			sent := request(t, ctx, http.MethodPost, "http://service/desk/a%2fb?x=1", test.body)
+			sent.Header.Set("X-Sent", "yes")
+			response, err := client.Transport(b.Addr(), relay.Metadata{Account: "clinic"}).RoundTrip(sent)
+			require.NoError(t, err)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, http.StatusAccepted, response.StatusCode)
+			require.Equal(t, "POST /desk/a%2fb?x=1 yes", response.Header.Get("X-Seen"))
+			require.Equal(t, test.want, string(body))
+		})
+	}
+}
+
+func TestCutAnswer(t *testing.T) {
+	cases := map[string]http.HandlerFunc{
+		"aborted": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte("half"))
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		},
+		"panic": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte("half"))
+			panic("boom")
+		},
+		"fewer bytes than announced": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "8")
+			_, _ = w.Write([]byte("half"))
+		},
+	}
+	for name, handler := range cases {
+		t.Run(name, func(t *testing.T) {
+			client, b := pair(t, handler)
+			response, err := client.Send(b.Addr(), relay.Metadata{}, request(t, t.Context(), http.MethodGet, "/", nil))
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+				require.NoError(t, response.Body.Close())
+			}
+			var failure *relay.Error
+			require.ErrorAs(t, err, &failure)
+			require.False(t, failure.NotSent)
+			require.False(t, failure.NotRun)
+		})
+	}
+}
+
+func TestPeerKilledDuringAnswer(t *testing.T) {
+	client, b := pair(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte("half"))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	response, err := client.Send(b.Addr(), relay.Metadata{}, request(t, t.Context(), http.MethodGet, "/", nil))
+	require.NoError(t, err)
+	b.Stop()
+	_, err = io.ReadAll(response.Body)
+	var failure *relay.Error
+	require.ErrorAs(t, err, &failure)
+}
+
+func TestNotSentAndNotRun(t *testing.T) {
+	runs := 0
+	client, b := pair(t, func(http.ResponseWriter, *http.Request) { runs++ })
+	ca := fleettest.Authority(t)
+	noHandler := fleettest.Start(t, ca, fleet.Options{Self: host.Identity{ID: "c", FailureDomain: "detroit"}})
+	huge := request(t, t.Context(), http.MethodGet, "/", nil)
+	huge.Header.Set("X-Huge", strings.Repeat("x", 300<<10))
+	failing := request(t, t.Context(), http.MethodPost, "/", io.NopCloser(failingReader{}))
+	failing.ContentLength = 10
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	cases := []struct {
+		name    string
+		peer    netip.AddrPort
+		request *http.Request
+	}{
+		{"peer with another authority", noHandler.Addr(), request(t, t.Context(), http.MethodGet, "/", nil)},
+		{"head too large", b.Addr(), huge},
+		{"short body fails before it is complete", b.Addr(), failing},
+		{"already cancelled", b.Addr(), request(t, cancelled, http.MethodGet, "/", nil)},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := client.Send(test.peer, relay.Metadata{}, test.request)
+			var failure *relay.Error
+			require.ErrorAs(t, err, &failure)
+			require.True(t, failure.NotSent, "%v", err)
+			require.True(t, failure.NotRun, "%v", err)
+		})
+	}
+	require.Zero(t, runs)
+}
+
+// failingReader fails, once the channel is closed if there is one.
+type failingReader struct{ after <-chan struct{} }
+
+func (r failingReader) Read([]byte) (int, error) {
+	if r.after != nil {
+		<-r.after
+	}
+	return 0, errors.New("broken")
+}
+
+func TestRefusedIsNotRun(t *testing.T) {
+	ca := fleettest.Authority(t)
+	a := fleettest.Start(t, ca, fleet.Options{Self: host.Identity{ID: "a", FailureDomain: "toronto"}})
+	b := fleettest.Start(t, ca, fleet.Options{Self: host.Identity{ID: "b", FailureDomain: "detroit"}})
+	client := &relay.Client{Streams: a}
+	_, err := client.Send(b.Addr(), relay.Metadata{}, request(t, t.Context(), http.MethodGet, "/", nil))
+	var failure *relay.Error
+	require.ErrorAs(t, err, &failure)
+	require.True(t, failure.NotRun, "%v", err)
+	require.False(t, failure.NotSent)
+}
+
+func TestCancellationReachesHandler(t *testing.T) {
+	for _, when := range []string{"before the answer", "by deadline", "during the answer", "by closing the body"} {
+		t.Run(when, func(t *testing.T) {
+			started, ended := make(chan struct{}), make(chan struct{})
+			client, b := pair(t, func(w http.ResponseWriter, r *http.Request) {
+				if strings.Contains(when, "body") || strings.Contains(when, "during") {
+					w.(http.Flusher).Flush()
+				}
+				close(started)
+				<-r.Context().Done()
+				close(ended)
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			if when == "by deadline" {
+				ctx, cancel = context.WithTimeout(t.Context(), 200*time.Millisecond)
+			}
+			defer cancel()
+			if when == "before the answer" {
+				go func() { <-started; cancel() }()
+			}
+			response, err := client.Send(b.Addr(), relay.Metadata{}, request(t, ctx, http.MethodGet, "/", nil))
+			switch when {
+			case "during the answer":
+				require.NoError(t, err)
+				cancel()
+				_, err = io.ReadAll(response.Body)
+				require.ErrorIs(t, err, context.Canceled)
+			case "by closing the body":
+				require.NoError(t, err)
+				require.NoError(t, response.Body.Close())
+			default:
+				require.Error(t, err)
+			}
+			<-ended
+		})
+	}
+}
+
+func TestCutRequestBody(t *testing.T) {
+	started, seen := make(chan struct{}), make(chan error, 1)
+	client, b := pair(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadFull(r.Body, make([]byte, len("half")))
+		close(started)
+		_, err := io.ReadAll(r.Body)
+		seen <- err
+	})
+	body := io.MultiReader(strings.NewReader("half"), failingReader{after: started})
+	_, err := client.Send(b.Addr(), relay.Metadata{}, request(t, t.Context(), http.MethodPost, "/", body))
+	var failure *relay.Error
+	require.ErrorAs(t, err, &failure)
+	require.False(t, failure.NotSent)
+	require.Error(t, <-seen)
+}
+
+func TestEarlyAnswerEndsUpload(t *testing.T) {
+	client, b := pair(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusForbidden) })
+	reader, writer := io.Pipe()
+	t.Cleanup(func() { _ = writer.Close() })
+	go func() { _, _ = writer.Write([]byte("first")) }()
+	response, err := client.Send(b.Addr(), relay.Metadata{}, request(t, t.Context(), http.MethodPost, "/", reader))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusForbidden, response.StatusCode)
+	_, err = io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+}
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -115,8 +116,8 @@
 type quicStream struct {
 	stream *quic.Stream
 	done   func()
-	header []byte // open frame not yet sent
-	ended  bool   // the outgoing direction ended
+	header []byte      // open frame not yet sent
+	ended  atomic.Bool // the outgoing direction ended
 }
 
 func (s *quicStream) Read(p []byte) (int, error) {
@@ -141,12 +142,12 @@
 			return err
 		}
 	}
-	s.ended = true
+	s.ended.Store(true)
 	return streamError(s.stream.Close())
 }
 
 func (s *quicStream) CancelWrite(code CancelCode) {
-	s.ended = true
+	s.ended.Store(true)
 	s.stream.CancelWrite(quic.StreamErrorCode(code))
 }
 
@@ -159,7 +160,7 @@
 func (s *quicStream) Context() context.Context { return s.stream.Context() }
 
 func (s *quicStream) Close() error {
-	if !s.ended {
+	if !s.ended.Load() {
 		s.CancelWrite(CancelGone)
 	}
 	s.CancelRead(CancelNone)
