Add the configuration repository over the platform's store

Cause: operators commit configurations against the revision they saw; answers of the store get lost, operators race, and 2.3 million client blocks must not be rewritten for each change. Change: a root document names content-addressed chunks; Commit swaps the root against its store revision and recognises its own success by an operation ID in the root's history; unused chunks are deleted after a grace. Assembled client blocks stay packed; Configuration.Blocks iterates over them.

--- a/internal/configuration/blocks.go
+++ b/internal/configuration/blocks.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"encoding/binary"
 	"fmt"
+	"iter"
 	"net/netip"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -36,6 +38,24 @@
 	return cmp.Compare(a.Bits(), b.Bits())
 }
 
+// blockRun is the CBOR form of a run of client blocks.
+type blockRun struct {
+	Domains []string `cbor:"1,keyasint"`           // names of failure domains
+	Lists   [][]byte `cbor:"2,keyasint"`           // each an order of indexes into Domains
+	V4      []byte   `cbor:"3,keyasint,omitempty"` // records of IPv4 prefixes
+	V6      []byte   `cbor:"4,keyasint,omitempty"` // records of IPv6 prefixes
+}
+
+var decodeMode = mustDecodeMode()
+
+func mustDecodeMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 20}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // blockEncoder packs one run of client blocks.
 type blockEncoder struct {
 	run     blockRun
@@ -51,7 +71,7 @@
 func encodeBlocks(c *Configuration) ([]Chunk, error) {
 	var chunks []Chunk
 	encoder := newBlockEncoder()
-	blocks := sortedBlocks(c)
+	blocks := c.sortedBlocks()
 	for i, block := range blocks {
 		if err := encoder.add(block); err != nil {
 			return nil, err
@@ -178,38 +198,92 @@
 	return list, nil
 }
 
-func (c *Configuration) addBlocks(data []byte, interned *interner) error {
+// packedRun holds the client blocks of one chunk, about 7 bytes for an IPv4
+// prefix. It is immutable.
+type packedRun struct {
+	lists [][]string
+	v4    []byte
+	v6    []byte
+}
+
+func decodeBlocks(data []byte, interned *interner) (*packedRun, error) {
 	var run blockRun
 	if err := decodeMode.Unmarshal(data, &run); err != nil {
-		return err
+		return nil, err
 	}
-	lists := make([][]string, len(run.Lists))
+	packed := &packedRun{lists: make([][]string, len(run.Lists)), v4: run.V4, v6: run.V6}
 	for i, order := range run.Lists {
 		list, err := interned.list(order, run.Domains)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		lists[i] = list
+		packed.lists[i] = list
 	}
-	if err := c.addRecords(run.V4, v4AddressBytes, lists); err != nil {
-		return err
+	if err := packed.check(run.V4, v4AddressBytes); err != nil {
+		return nil, err
 	}
-	return c.addRecords(run.V6, v6AddressBytes, lists)
+	return packed, packed.check(run.V6, v6AddressBytes)
 }
 
-func (c *Configuration) addRecords(records []byte, addressBytes int, lists [][]string) error {
+// check verifies every record, so that iteration cannot fail.
+func (p *packedRun) check(records []byte, addressBytes int) error {
 	size := addressBytes + recordTailBytes
 	if len(records)%size != 0 {
 		return &BlockRunError{Field: "record length"}
 	}
 	for ; len(records) > 0; records = records[size:] {
-		address, _ := netip.AddrFromSlice(records[:addressBytes])
-		prefix := netip.PrefixFrom(address, int(records[addressBytes]))
-		list := int(binary.BigEndian.Uint16(records[addressBytes+1:]))
-		if !prefix.IsValid() || list >= len(lists) {
+		list := binary.BigEndian.Uint16(records[addressBytes+1:])
+		if int(records[addressBytes]) > 8*addressBytes || int(list) >= len(p.lists) {
 			return &BlockRunError{Field: "record"}
 		}
-		c.ClientBlocks = append(c.ClientBlocks, ClientBlock{Prefix: prefix, Domains: lists[list]})
 	}
 	return nil
 }
+
+func (p *packedRun) yield(records []byte, addressBytes int, yield func(ClientBlock) bool) bool {
+	size := addressBytes + recordTailBytes
+	for ; len(records) > 0; records = records[size:] {
+		address, _ := netip.AddrFromSlice(records[:addressBytes])
+		list := binary.BigEndian.Uint16(records[addressBytes+1:])
+		block := ClientBlock{
+			Prefix:  netip.PrefixFrom(address, int(records[addressBytes])),
+			Domains: p.lists[list],
+		}
+		if !yield(block) {
+			return false
+		}
+	}
+	return true
+}
+
+// Blocks iterates over all client blocks. Equal lists of failure domains share
+// memory and must not be modified.
+func (c *Configuration) Blocks() iter.Seq[ClientBlock] {
+	return func(yield func(ClientBlock) bool) {
+		for _, block := range c.ClientBlocks {
+			if !yield(block) {
+				return
+			}
+		}
+		for _, run := range c.packed {
+			if !run.yield(run.v4, v4AddressBytes, yield) || !run.yield(run.v6, v6AddressBytes, yield) {
+				return
+			}
+		}
+	}
+}
+
+// sortedBlocks returns the client blocks sorted by prefix.
+func (c *Configuration) sortedBlocks() []ClientBlock {
+	blocks := c.ClientBlocks
+	if len(c.packed) > 0 {
+		blocks = slices.Collect(c.Blocks())
+	}
+	compare := func(a, b ClientBlock) int { return comparePrefixes(a.Prefix, b.Prefix) }
+	if slices.IsSortedFunc(blocks, compare) {
+		return blocks
+	}
+	blocks = slices.Clone(blocks)
+	slices.SortFunc(blocks, compare)
+	return blocks
+}
--- a/internal/configuration/chunk.go
+++ b/internal/configuration/chunk.go
@@ -4,11 +4,8 @@
 	"crypto/sha256"
 	"encoding/json"
 	"reflect"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
-	"github.com/go-faster/errors"
 )
 
 // ChunkKind says how a chunk is encoded.
@@ -190,42 +187,6 @@
 	return append(chunks, chunk), nil
 }
 
-// Assemble joins chunks into a configuration, in the order of refs. Fetch
-// returns the data of a chunk, or nil if it is missing.
-func Assemble(refs []ChunkReference, fetch func(Digest) []byte) (*Configuration, error) {
-	c := &Configuration{}
-	interned := newInterner()
-	for _, ref := range refs {
-		data := fetch(ref.Digest)
-		if data == nil {
-			return nil, &ChunkError{Digest: ref.Digest, Reason: ChunkMissing}
-		}
-		if err := ref.Verify(data); err != nil {
-			return nil, err
-		}
-		if err := c.addChunk(ref, data, interned); err != nil {
-			return nil, err
-		}
-	}
-	return c, nil
-}
-
-func (c *Configuration) addChunk(ref ChunkReference, data []byte, interned *interner) error {
-	var err error
-	switch ref.Kind {
-	case ChunkObjects:
-		err = c.addObjects(data)
-	case ChunkBlocks:
-		err = c.addBlocks(data, interned)
-	default:
-		err = &UnknownChunkKindError{Kind: ref.Kind}
-	}
-	if err != nil {
-		return &ChunkError{Digest: ref.Digest, Reason: ChunkGarbled, Err: err}
-	}
-	return nil
-}
-
 // UnknownChunkKindError reports a chunk of a kind that this version cannot read.
 type UnknownChunkKindError struct {
 	Kind ChunkKind
@@ -235,52 +196,3 @@
 func (e *UnknownChunkKindError) Error() string {
 	return "chunk kind " + string('0'+rune(e.Kind)) + " is unknown"
 }
-
-func (c *Configuration) addObjects(data []byte) error {
-	var run Configuration
-	if err := json.Unmarshal(data, &run); err != nil {
-		return errors.Wrap(err, "objects")
-	}
-	from := reflect.ValueOf(&run).Elem()
-	into := reflect.ValueOf(c).Elem()
-	for i := range from.NumField() {
-		field := from.Field(i)
-		switch {
-		case !from.Type().Field(i).IsExported() || field.IsZero():
-		case field.Kind() == reflect.Slice:
-			into.Field(i).Set(reflect.AppendSlice(into.Field(i), field))
-		default:
-			into.Field(i).Set(field)
-		}
-	}
-	return nil
-}
-
-// blockRun is the CBOR form of a run of client blocks.
-type blockRun struct {
-	Domains []string `cbor:"1,keyasint"`           // names of failure domains
-	Lists   [][]byte `cbor:"2,keyasint"`           // each an order of indexes into Domains
-	V4      []byte   `cbor:"3,keyasint,omitempty"` // records of IPv4 prefixes
-	V6      []byte   `cbor:"4,keyasint,omitempty"` // records of IPv6 prefixes
-}
-
-var decodeMode = mustDecodeMode()
-
-func mustDecodeMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 20}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-// sortedBlocks returns the client blocks sorted by prefix.
-func sortedBlocks(c *Configuration) []ClientBlock {
-	compare := func(a, b ClientBlock) int { return comparePrefixes(a.Prefix, b.Prefix) }
-	if slices.IsSortedFunc(c.ClientBlocks, compare) {
-		return c.ClientBlocks
-	}
-	blocks := slices.Clone(c.ClientBlocks)
-	slices.SortFunc(blocks, compare)
-	return blocks
-}
--- /dev/null
+++ b/internal/configuration/chunk_bench_test.go
@@ -0,0 +1,85 @@
+package configuration
+
+import (
+	"runtime"
+	"testing"
+)
+
+// blocksAtSize is the number of client blocks to design for.
+const blocksAtSize = 2_300_000
+
+func BenchmarkEncodeBlocks(b *testing.B) {
+	c := syntheticBlocks(blocksAtSize)
+	for b.Loop() {
+		if _, err := Encode(c); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkAssembleBlocks(b *testing.B) {
+	chunks, err := Encode(syntheticBlocks(blocksAtSize))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		assembleFrom(b, chunks)
+	}
+	b.ReportMetric(float64(len(chunks)), "chunks")
+}
+
+// BenchmarkOneBlockChanged reports the bytes that a change of one client block
+// rewrites, and the time to assemble it from chunks that are held already.
+func BenchmarkOneBlockChanged(b *testing.B) {
+	c := syntheticBlocks(blocksAtSize)
+	before, err := Encode(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	c.ClientBlocks[blocksAtSize/2].Domains = []string{"k", "a", "b"}
+	after, err := Encode(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	known := byDigest(before)
+	rewritten, largest, total := 0, 0, 0
+	for _, chunk := range after {
+		total += len(chunk.Data)
+		largest = max(largest, len(chunk.Data))
+		if known[chunk.Reference.Digest] == nil {
+			rewritten += len(chunk.Data)
+		}
+	}
+	refs := references(after)
+	root, err := (&Manifest{Digest: digestOfReferences(refs), Chunks: refs}).Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	var memoryBefore, memoryAfter runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&memoryBefore)
+	assembler := NewAssembler()
+	for _, chunk := range before {
+		if err := assembler.Add(chunk.Reference, chunk.Data); err != nil {
+			b.Fatal(err)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&memoryAfter)
+	for b.Loop() {
+		assembler.Retain(references(before))
+		for _, chunk := range after {
+			if err := assembler.Add(chunk.Reference, chunk.Data); err != nil {
+				b.Fatal(err)
+			}
+		}
+		if _, err := assembler.Assemble(refs); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(rewritten), "chunk-B/change")
+	b.ReportMetric(float64(len(root)), "root-B")
+	b.ReportMetric(float64(largest), "largest-chunk-B")
+	b.ReportMetric(float64(total), "all-chunks-B")
+	b.ReportMetric(float64(memoryAfter.HeapAlloc-memoryBefore.HeapAlloc), "heap-B")
+}
--- a/internal/configuration/chunk_test.go
+++ b/internal/configuration/chunk_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -39,8 +40,11 @@
 }
 
 func assembleFrom(t testing.TB, chunks []Chunk) *Configuration {
-	data := byDigest(chunks)
-	c, err := Assemble(references(chunks), func(d Digest) []byte { return data[d] })
+	assembler := NewAssembler()
+	for _, chunk := range chunks {
+		require.NoError(t, assembler.Add(chunk.Reference, chunk.Data))
+	}
+	c, err := assembler.Assemble(references(chunks))
 	require.NoError(t, err)
 	return c
 }
@@ -53,8 +57,12 @@
 	chunks, err := Encode(c)
 	require.NoError(t, err)
 	require.Greater(t, len(chunks), 4)
-	require.Equal(t, c, assembleFrom(t, chunks))
-	require.Equal(t, DigestOf(c), DigestOf(assembleFrom(t, chunks)))
+	got := assembleFrom(t, chunks)
+	require.Equal(t, c.ClientBlocks, slices.Collect(got.Blocks()))
+	require.Equal(t, c.ClientAccounts, got.ClientAccounts)
+	require.Equal(t, c.FailureDomains, got.FailureDomains)
+	require.Equal(t, c.StaleKeys, got.StaleKeys)
+	require.Equal(t, DigestOf(c), DigestOf(got))
 }
 
 func TestOneBlockChangesOneChunk(t *testing.T) {
@@ -82,20 +90,20 @@
 	return count
 }
 
-func TestAssembleRefusesDamage(t *testing.T) {
+func TestAssemblerRefusesDamage(t *testing.T) {
 	chunks, err := Encode(syntheticBlocks(10))
 	require.NoError(t, err)
-	_, err = Assemble(references(chunks), func(Digest) []byte { return nil })
+	assembler := NewAssembler()
 	var failure *ChunkError
+	_, err = assembler.Assemble(references(chunks))
 	require.ErrorAs(t, err, &failure)
 	require.Equal(t, ChunkMissing, failure.Reason)
-	_, err = Assemble(references(chunks), func(Digest) []byte { return []byte("x") })
-	require.ErrorAs(t, err, &failure)
+	require.ErrorAs(t, assembler.Add(chunks[0].Reference, []byte("x")), &failure)
 	require.Equal(t, ChunkCorrupt, failure.Reason)
 	for _, kind := range []ChunkKind{ChunkObjects, ChunkBlocks, 9} {
 		garbled := newChunk(kind, []byte("{"))
-		_, err = Assemble([]ChunkReference{garbled.Reference}, func(Digest) []byte { return garbled.Data })
-		require.ErrorAs(t, err, &failure)
+		require.ErrorAs(t, assembler.Add(garbled.Reference, garbled.Data), &failure)
 		require.Equal(t, ChunkGarbled, failure.Reason)
 	}
+	require.Len(t, assembler.Missing(references(chunks)), len(chunks))
 }
--- a/internal/configuration/model.go
+++ b/internal/configuration/model.go
@@ -19,12 +19,16 @@
 	Services       []Service       `json:"services,omitempty"`
 	Upstreams      []Upstream      `json:"upstreams,omitempty"`
 	Routes         []Route         `json:"routes,omitempty"`
-	ClientBlocks   []ClientBlock   `json:"clientBlocks,omitempty"`
-	Drains         []Drain         `json:"drains,omitempty"`
-	Shifts         []Shift         `json:"shifts,omitempty"`
-	Objectives     []Objective     `json:"objectives,omitempty"`
-	WithdrawnKeys  []WithdrawnKey  `json:"withdrawnKeys,omitempty"`
-	StaleKeys      *StaleKeys      `json:"staleKeys,omitempty"`
+	// ClientBlocks is set in a configuration that was read from a folder. On a
+	// host the blocks are packed; read them with Blocks.
+	ClientBlocks  []ClientBlock  `json:"clientBlocks,omitempty"`
+	Drains        []Drain        `json:"drains,omitempty"`
+	Shifts        []Shift        `json:"shifts,omitempty"`
+	Objectives    []Objective    `json:"objectives,omitempty"`
+	WithdrawnKeys []WithdrawnKey `json:"withdrawnKeys,omitempty"`
+	StaleKeys     *StaleKeys     `json:"staleKeys,omitempty"`
+
+	packed []*packedRun // client blocks of an assembled configuration
 }
 
 // Region is a group of failure domains that are close to each other.
--- /dev/null
+++ b/internal/configuration/repository.go
@@ -0,0 +1,161 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"peridotrail/internal/platform"
+)
+
+// ConflictError reports that the revision in the store is not the one on which
+// the operator based a change.
+type ConflictError struct {
+	Base       Revision
+	Current    Revision
+	Difference Difference // from the stored configuration to the refused one
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("revision %d is in the store, but the change is based on revision %d; %d entries differ",
+		e.Current, e.Base, len(e.Difference.Changes))
+}
+
+// OutcomeError reports a commit that may or may not have taken effect, because
+// the store did not answer until the context ended. Committing the same
+// configuration again is safe.
+type OutcomeError struct {
+	Operation OperationID
+	Base      Revision
+	Err       error
+}
+
+// Error implements error.
+func (e *OutcomeError) Error() string {
+	return fmt.Sprintf("the commit on revision %d may have taken effect: %v", e.Base, e.Err)
+}
+
+// Unwrap returns the underlying failure.
+func (e *OutcomeError) Unwrap() error { return e.Err }
+
+// Defaults of RepositoryConfig.
+const (
+	DefaultGarbageGrace  = time.Hour
+	DefaultSweepInterval = 24 * time.Hour
+	DefaultParallel      = 4
+)
+
+// RepositoryConfig holds the dependencies of a Repository.
+type RepositoryConfig struct {
+	Store platform.Store
+	Now   func() time.Time // wall clock; time.Now if nil
+	// NewOperation returns a unique ID for a commit; random if nil.
+	NewOperation  func() OperationID
+	GarbageGrace  time.Duration // age at which an unused chunk is deleted
+	SweepInterval time.Duration // time between searches for chunks of failed commits
+	Parallel      int           // chunks read or written at the same time
+}
+
+// Repository keeps the configuration in the platform's store.
+type Repository struct {
+	config RepositoryConfig
+}
+
+// NewRepository returns a repository. Zero fields of config take their defaults.
+func NewRepository(config RepositoryConfig) *Repository {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.NewOperation == nil {
+		config.NewOperation = randomOperation
+	}
+	if config.GarbageGrace == 0 {
+		config.GarbageGrace = DefaultGarbageGrace
+	}
+	if config.SweepInterval == 0 {
+		config.SweepInterval = DefaultSweepInterval
+	}
+	if config.Parallel == 0 {
+		config.Parallel = DefaultParallel
+	}
+	return &Repository{config: config}
+}
+
+// Root returns the root document with the store's revision of it. The manifest
+// is nil if there is none. Transient failures are retried until ctx ends.
+func (r *Repository) Root(ctx context.Context) (*Manifest, platform.Revision, error) {
+	var entry platform.Entry
+	err := retry(ctx, func() (err error) {
+		entry, err = r.config.Store.Get(ctx, RootKey)
+		return err
+	})
+	if err != nil || !entry.Exists() {
+		return nil, 0, err
+	}
+	manifest, err := DecodeManifest(entry.Value)
+	return manifest, entry.Revision, err
+}
+
+// Chunk returns the data of a chunk. It fails with a *ChunkError if the store
+// does not hold it, which means that a newer root has replaced the one read.
+func (r *Repository) Chunk(ctx context.Context, ref ChunkReference) ([]byte, error) {
+	var entry platform.Entry
+	err := retry(ctx, func() (err error) {
+		entry, err = r.config.Store.Get(ctx, ChunkKey(ref.Digest))
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !entry.Exists() {
+		return nil, &ChunkError{Digest: ref.Digest, Reason: ChunkMissing}
+	}
+	return entry.Value, ref.Verify(entry.Value)
+}
+
+// Load returns the stored configuration, or nil if there is none.
+func (r *Repository) Load(ctx context.Context) (*Snapshot, error) {
+	for {
+		manifest, _, err := r.Root(ctx)
+		if err != nil || manifest == nil {
+			return nil, err
+		}
+		snapshot, err := r.snapshot(ctx, manifest)
+		if !isMissing(err) {
+			return snapshot, err
+		}
+		latest, _, rootErr := r.Root(ctx)
+		if rootErr != nil || latest == nil || latest.Revision == manifest.Revision {
+			return nil, err
+		}
+	}
+}
+
+func (r *Repository) snapshot(ctx context.Context, manifest *Manifest) (*Snapshot, error) {
+	assembler := NewAssembler()
+	data := make([][]byte, len(manifest.Chunks))
+	err := r.each(ctx, len(manifest.Chunks), func(ctx context.Context, i int) (err error) {
+		data[i], err = r.Chunk(ctx, manifest.Chunks[i])
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i, ref := range manifest.Chunks {
+		if err := assembler.Add(ref, data[i]); err != nil {
+			return nil, err
+		}
+	}
+	return assembler.Snapshot(manifest)
+}
+
+// Snapshot assembles the configuration of a manifest. It fails with a
+// *ChunkError if a chunk is missing.
+func (a *Assembler) Snapshot(manifest *Manifest) (*Snapshot, error) {
+	c, err := a.Assemble(manifest.Chunks)
+	if err != nil {
+		return nil, err
+	}
+	return newSnapshot(manifest.Revision, c, manifest.Digest), nil
+}
--- /dev/null
+++ b/internal/configuration/repository_test.go
@@ -0,0 +1,255 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"peridotrail/internal/platform"
+	"peridotrail/internal/standin/store"
+)
+
+func regionsOf(names ...string) *Configuration {
+	c := &Configuration{}
+	for _, name := range names {
+		c.Regions = append(c.Regions, Region{Name: name})
+	}
+	return c
+}
+
+func TestCommitRevisionsAndConflict(t *testing.T) {
+	ctx := t.Context()
+	r := NewRepository(RepositoryConfig{Store: store.New()})
+	loaded, err := r.Load(ctx)
+	require.NoError(t, err)
+	require.Nil(t, loaded)
+
+	one, err := r.Commit(ctx, 0, regionsOf("a"))
+	require.NoError(t, err)
+	require.Equal(t, Revision(1), one)
+	again, err := r.Commit(ctx, 0, regionsOf("a"))
+	require.NoError(t, err)
+	require.Equal(t, one, again, "an equal configuration is not committed twice")
+	two, err := r.Commit(ctx, 1, regionsOf("a", "b"))
+	require.NoError(t, err)
+	require.Equal(t, Revision(2), two)
+
+	_, err = r.Commit(ctx, 1, regionsOf("a", "c"))
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, Revision(1), conflict.Base)
+	require.Equal(t, Revision(2), conflict.Current)
+	require.Equal(t, "- regions b: {\"name\":\"b\"}\n+ regions c: {\"name\":\"c\"}", conflict.Difference.String())
+
+	_, err = r.Commit(ctx, 2, regionsOf("a", "a"))
+	var refused *InvalidError
+	require.ErrorAs(t, err, &refused)
+	loaded, err = r.Load(ctx)
+	require.NoError(t, err)
+	require.Equal(t, two, loaded.Revision)
+	require.Equal(t, regionsOf("a", "b").Regions, loaded.Regions)
+}
+
+func TestCommitWithLostAnswers(t *testing.T) {
+	for lost := range 4 {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := store.New()
+				r := NewRepository(RepositoryConfig{Store: s})
+				s.LoseNextAnswers(lost)
+				revision, err := r.Commit(t.Context(), 0, regionsOf("a"))
+				require.NoError(t, err)
+				require.Equal(t, Revision(1), revision)
+				loaded, err := r.Load(t.Context())
+				require.NoError(t, err)
+				require.Equal(t, Revision(1), loaded.Revision)
+			})
+		})
+	}
+}
+
+// rootSwapHook runs once after the first swap of the root, then loses its answer.
+type rootSwapHook struct {
+	platform.Store
+	once  sync.Once
+	after func()
+}
+
+func (h *rootSwapHook) CompareAndSwap(ctx context.Context, w platform.Write) (platform.Entry, error) {
+	entry, err := h.Store.CompareAndSwap(ctx, w)
+	if w.Key == RootKey {
+		h.once.Do(func() {
+			h.after()
+			entry = platform.Entry{}
+			err = &platform.Error{Kind: platform.KindUnknownOutcome, Op: "compareAndSwap", Key: w.Key}
+		})
+	}
+	return entry, err
+}
+
+func TestCommitRecognisesItselfBehindAnotherCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		other := NewRepository(RepositoryConfig{Store: s})
+		hook := &rootSwapHook{Store: s, after: func() {
+			_, err := other.Commit(t.Context(), 1, regionsOf("a", "b"))
+			require.NoError(t, err)
+		}}
+		revision, err := NewRepository(RepositoryConfig{Store: hook}).Commit(t.Context(), 0, regionsOf("a"))
+		require.NoError(t, err)
+		require.Equal(t, Revision(1), revision)
+	})
+}
+
+func TestCommitSaysWhenTheOutcomeIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		hook := &rootSwapHook{Store: s, after: func() { s.SetDown(true) }}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_, err := NewRepository(RepositoryConfig{Store: hook}).Commit(ctx, 0, regionsOf("a"))
+		var outcome *OutcomeError
+		require.ErrorAs(t, err, &outcome)
+	})
+}
+
+func TestGarbageIsDeletedAfterGraceOnly(t *testing.T) {
+	ctx := t.Context()
+	s := store.New()
+	now := time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+	r := NewRepository(RepositoryConfig{Store: s, Now: func() time.Time { return now }})
+	orphan := newChunk(ChunkObjects, []byte("orphan of a failed commit"))
+	require.NoError(t, r.writeChunk(ctx, orphan))
+	chunksAfter := func(base Revision, c *Configuration) int {
+		_, err := r.Commit(ctx, base, c)
+		require.NoError(t, err)
+		entries, err := s.List(ctx, ChunkPrefix)
+		require.NoError(t, err)
+		return len(entries)
+	}
+	require.Equal(t, 2, chunksAfter(0, regionsOf("a")))
+	old, _, err := r.Root(ctx)
+	require.NoError(t, err)
+	require.Equal(t, 3, chunksAfter(1, regionsOf("b")))
+	_, err = r.snapshot(ctx, old)
+	require.NoError(t, err, "a reader of the older root still finds its chunks")
+	now = now.Add(DefaultGarbageGrace + time.Second)
+	require.Equal(t, 3, chunksAfter(2, regionsOf("c")), "chunk a is gone")
+	_, err = r.snapshot(ctx, old)
+	require.True(t, isMissing(err))
+	now = now.Add(DefaultSweepInterval)
+	require.Equal(t, 3, chunksAfter(3, regionsOf("d")), "b is gone; the orphan is found")
+	now = now.Add(DefaultGarbageGrace + time.Second)
+	require.Equal(t, 2, chunksAfter(4, regionsOf("e")), "c and the orphan are gone, d waits")
+	loaded, err := r.Load(ctx)
+	require.NoError(t, err)
+	require.Equal(t, Revision(5), loaded.Revision)
+}
+
+func TestCollectionSparesAChunkThatIsNamedAgain(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	chunk := newChunk(ChunkObjects, []byte("x"))
+	current := &Manifest{Garbage: []Garbage{{Digest: chunk.Reference.Digest, Since: now.Add(-2 * time.Hour)}}}
+	plan := planCollection(current, []ChunkReference{chunk.Reference}, nil, now, time.Hour)
+	require.Empty(t, plan.remove)
+	require.Empty(t, plan.keep)
+}
+
+// operator commits what it last saw with one more region.
+type operator struct {
+	repository *Repository
+	base       Revision
+	seen       []string
+}
+
+func (o *operator) commit(ctx context.Context, name string) (Revision, error) {
+	next := append(append([]string{}, o.seen...), name)
+	revision, err := o.repository.Commit(ctx, o.base, regionsOf(next...))
+	if err == nil {
+		o.base, o.seen = revision, next
+	}
+	return revision, err
+}
+
+func (o *operator) refresh(ctx context.Context) error {
+	s, err := o.repository.Load(ctx)
+	if err != nil || s == nil {
+		return err
+	}
+	o.base, o.seen = s.Revision, nil
+	for _, region := range s.Regions {
+		o.seen = append(o.seen, region.Name)
+	}
+	return nil
+}
+
+// bubbleTB hides the deadline of the test, which a bubble has no access to.
+type bubbleTB struct {
+	rapid.TB
+}
+
+// Two operators race while answers are lost: no accepted change is lost or
+// applied twice, no refused change is stored, and revisions only rise.
+func TestRacingOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubbleTB{t}, func(t *rapid.T) {
+			ctx := context.Background()
+			s := store.New()
+			s.LoseAnswers(rapid.Float64Range(0, 0.6).Draw(t, "lost answers"), rapid.Uint64().Draw(t, "seed"))
+			clock := time.Unix(1_800_000_000, 0)
+			var operators [2]*operator
+			for i := range operators {
+				operators[i] = &operator{repository: NewRepository(RepositoryConfig{Store: s, Now: func() time.Time { return clock }})}
+			}
+			accepted := map[string]bool{}
+			made := map[Revision]bool{}
+			steps := rapid.IntRange(1, 8).Draw(t, "steps")
+			for step := range steps {
+				clock = clock.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "hours")) * time.Hour)
+				s.SetSlow(time.Duration(rapid.IntRange(0, 20).Draw(t, "delay")) * time.Millisecond)
+				var revisions [2]Revision
+				var errs [2]error
+				var running sync.WaitGroup
+				for i, o := range operators {
+					if rapid.Bool().Draw(t, "refresh") {
+						require.NoError(t, o.refresh(ctx))
+					}
+					head := time.Duration(rapid.IntRange(0, 30).Draw(t, "start")) * time.Millisecond
+					running.Go(func() {
+						time.Sleep(head)
+						revisions[i], errs[i] = o.commit(ctx, fmt.Sprintf("r%d-%d", step, i))
+					})
+				}
+				running.Wait()
+				for i, err := range errs {
+					if err != nil {
+						var conflict *ConflictError
+						require.ErrorAs(t, err, &conflict)
+						continue
+					}
+					require.False(t, made[revisions[i]], "revision %d was made twice", revisions[i])
+					made[revisions[i]] = true
+					accepted[fmt.Sprintf("r%d-%d", step, i)] = true
+				}
+			}
+			checkStored(t, operators[0].repository, accepted, len(made))
+		})
+	})
+}
+
+func checkStored(t *rapid.T, r *Repository, accepted map[string]bool, commits int) {
+	final, err := r.Load(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, Revision(commits), final.Revision)
+	stored := map[string]bool{}
+	for _, region := range final.Regions {
+		stored[region.Name] = true
+	}
+	require.Equal(t, accepted, stored)
+}
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/hex"
-	"iter"
 	"slices"
 	"strings"
 )
@@ -176,10 +175,5 @@
 	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/'
 }
 
-// Blocks iterates over all client blocks.
-func (s *Snapshot) Blocks() iter.Seq[ClientBlock] {
-	return slices.Values(s.ClientBlocks)
-}
-
 // WeightOf returns the share of an account under shortage; at least 1.
 func (a *ClientAccount) WeightOf() int { return max(a.Weight, 1) }
