Add the front door: steps, framing guard and forwarding transport

Cause: callers need one door that authenticates, limits, forwards and refuses. Change: steps as composed http.Handlers, a guard for ambiguous framing below net/http, a transport that never resends, active requests by key.

--- /dev/null
+++ b/internal/clientaccount/enforcer.go
@@ -0,0 +1,60 @@
+package clientaccount
+
+import (
+	"context"
+	"time"
+
+	"peridotrail/internal/configuration"
+)
+
+// SweepInterval is the time between two looks at the configuration in force. It
+// bounds how long a withdrawn key goes on after the host accepted the change.
+const SweepInterval = 200 * time.Millisecond
+
+// Keys resolves key digests by one accepted configuration.
+type Keys interface {
+	KeyOwner(digest [32]byte) (account, keyID string, ok bool)
+}
+
+// Enforcer ends the requests of withdrawn keys. Its fields are set before Run.
+type Enforcer struct {
+	Active *Active
+	// InForce returns the keys and their revision; nil keys before the first
+	// configuration.
+	InForce func() (Keys, configuration.Revision)
+	// Withdrawn is called with the number of requests that were ended; may be nil.
+	Withdrawn func(ended int)
+
+	applied configuration.Revision
+}
+
+// Run enforces each new revision until ctx ends.
+func (e *Enforcer) Run(ctx context.Context) {
+	ticker := time.NewTicker(SweepInterval)
+	defer ticker.Stop()
+	for {
+		e.Step()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Step enforces the revision in force once.
+func (e *Enforcer) Step() {
+	keys, revision := e.InForce()
+	if keys == nil || revision == e.applied {
+		return
+	}
+	owner := func(d Digest) (string, bool) {
+		account, _, ok := keys.KeyOwner(d)
+		return account, ok
+	}
+	ended := e.Active.Withdraw(owner)
+	e.applied = revision
+	if ended > 0 && e.Withdrawn != nil {
+		e.Withdrawn(ended)
+	}
+}
--- /dev/null
+++ b/internal/entry/authenticate.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"net/http"
+
+	"peridotrail/internal/clientaccount"
+	"peridotrail/internal/invariant"
+	"peridotrail/internal/problem"
+)
+
+// authenticate finds the client account of the caller's key and registers the
+// request under the key until it ends.
+func (f *FrontDoor) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x := exchangeOf(r)
+		known := x.readKey(r)
+		if x.open {
+			if !known {
+				x.key = ""
+			}
+			x.account = ""
+			next.ServeHTTP(w, r)
+			return
+		}
+		if !known {
+			x.refuse(w, problem.New(problem.TypeUnauthenticated, problem.ExecutedNo, "no valid key came with the request"))
+			return
+		}
+		f.serveOwned(w, r, next)
+	})
+}
+
+// readKey takes the key from the request and reports whether an account owns it.
+func (x *exchange) readKey(r *http.Request) bool {
+	key, ok := clientaccount.BearerKey(r.Header)
+	if !ok {
+		return false
+	}
+	x.key = key
+	x.digest = clientaccount.DigestOf(key)
+	x.account, _, ok = x.policy.KeyOwner(x.digest)
+	return ok
+}
+
+func (f *FrontDoor) serveOwned(w http.ResponseWriter, r *http.Request, next http.Handler) {
+	x := exchangeOf(r)
+	if containsKey(r.URL.Path, x.key) || containsKey(r.Host, x.key) || containsKey(r.Method, x.key) {
+		x.refuse(w, malformed("the key may only be in the Authorization header"))
+		return
+	}
+	ctx, active := f.options.Active.Begin(r.Context(), x.digest, x.account)
+	defer active.End()
+	// The key may have been withdrawn between the look-up and Begin.
+	x.policy = f.options.Policy()
+	owner, _, ok := x.policy.KeyOwner(x.digest)
+	if !ok || owner != x.account {
+		x.refuse(w, problem.New(problem.TypeKeyWithdrawn, problem.ExecutedNo, ""))
+		return
+	}
+	invariant.Check(x.account != "", invariant.KeyOwnsRequest, "request %s has no client account", x.id)
+	if account := x.policy.Account(x.account); account != nil {
+		x.weight = account.Weight
+	}
+	next.ServeHTTP(w, r.WithContext(ctx))
+}
--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"peridotrail/internal/clientaccount"
+	"peridotrail/internal/configuration"
+	"peridotrail/internal/entry/forward"
+	"peridotrail/internal/problem"
+	"peridotrail/internal/upstream"
+)
+
+const (
+	maxAttempts   = 3
+	overloadRetry = time.Second
+	notReadyRetry = time.Second
+)
+
+// dispatch reads the beginning of the body, finds a place for the request and
+// sends it there. It is the last step.
+func (f *FrontDoor) dispatch() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x := exchangeOf(r)
+		if p := x.readPayload(w, r); p != nil {
+			x.refuseAndClose(w, p)
+			return
+		}
+		defer x.payload.Release()
+		f.attempts(w, r, x)
+	})
+}
+
+func (f *FrontDoor) attempts(w http.ResponseWriter, r *http.Request, x *exchange) {
+	work := x.work()
+	for attempt := 1; ; attempt++ {
+		permit, err := f.options.Dispatcher.Acquire(r.Context(), work)
+		if err != nil {
+			x.refuse(w, x.dispatchProblem(r.Context(), err))
+			return
+		}
+		failure := f.send(w, r, x, permit)
+		if failure == nil {
+			return
+		}
+		if attempt == maxAttempts || !x.mayRetry(r.Context(), failure) {
+			x.refuse(w, x.sendProblem(r.Context(), failure))
+			return
+		}
+		work.Excluded = append(work.Excluded, permit.Target().Name())
+	}
+}
+
+func (x *exchange) work() upstream.Work {
+	return upstream.Work{
+		Service:    x.service.Name,
+		Account:    x.account,
+		Weight:     x.weight,
+		Priority:   x.priority,
+		Deadline:   x.deadline,
+		Idempotent: x.idempotent,
+		Relayed:    x.relayed,
+		Origin:     x.origin,
+		Grant:      x.grant,
+	}
+}
+
+// mayRetry decides whether a failed attempt may be followed by another one.
+// What certainly did not run may go elsewhere; what may have run only if it is
+// idempotent. The dispatcher's retry budget has the last word.
+func (x *exchange) mayRetry(ctx context.Context, failure *sendFailure) bool {
+	if ctx.Err() != nil || !x.payload.Replayable() {
+		return false
+	}
+	return failure.executed == problem.ExecutedNo || x.idempotent
+}
+
+// readPayload reads the beginning of the body before any upstream is contacted.
+// The end of the request's time or of its key ends the reading.
+func (x *exchange) readPayload(w http.ResponseWriter, r *http.Request) *problem.Problem {
+	if x.payload != nil {
+		return nil
+	}
+	if r.ContentLength == 0 {
+		x.payload = forward.EmptyPayload()
+		return nil
+	}
+	controller := http.NewResponseController(w)
+	stop := context.AfterFunc(r.Context(), func() {
+		_ = controller.SetReadDeadline(time.Unix(1, 0)) // unsupported for relayed requests, whose stream ends by itself
+	})
+	payload, err := forward.ReadPayload(r.Body, r.ContentLength)
+	stop()
+	if err == nil {
+		x.payload = payload
+		return nil
+	}
+	if p := endProblem(r.Context(), problem.ExecutedNo); p != nil {
+		return p
+	}
+	return malformed("the body can't be read")
+}
+
+// dispatchProblem translates a refusal of the dispatcher.
+func (x *exchange) dispatchProblem(ctx context.Context, err error) *problem.Problem {
+	if p := endProblem(ctx, x.executed()); p != nil {
+		return p
+	}
+	var refused *upstream.RefusedError
+	if !errors.As(err, &refused) {
+		return problem.New(problem.TypeInternal, x.executed(), "")
+	}
+	p := problem.New(problemTypes[refused.Reason], x.executed(), refused.Reason.String())
+	return p.After(refused.RetryAfter)
+}
+
+var problemTypes = map[upstream.Reason]problem.Type{
+	upstream.ReasonNoUpstream:       problem.TypeNoUpstream,
+	upstream.ReasonOverloaded:       problem.TypeOverloaded,
+	upstream.ReasonDeadlineTooShort: problem.TypeDeadlineExceeded,
+	upstream.ReasonWithdrawn:        problem.TypeOverloaded,
+	upstream.ReasonNoGrant:          problem.TypeOverloaded,
+	upstream.ReasonShuttingDown:     problem.TypeShuttingDown,
+}
+
+// endProblem returns the problem of a request whose context has ended, nil if it
+// has not.
+func endProblem(ctx context.Context, executed problem.Executed) *problem.Problem {
+	if ctx.Err() == nil {
+		return nil
+	}
+	var withdrawn *clientaccount.KeyWithdrawnError
+	if errors.As(context.Cause(ctx), &withdrawn) {
+		return problem.New(problem.TypeKeyWithdrawn, executed, "")
+	}
+	return problem.New(problem.TypeDeadlineExceeded, executed, "")
+}
+
+// sendProblem translates the failure of the last attempt.
+func (x *exchange) sendProblem(ctx context.Context, failure *sendFailure) *problem.Problem {
+	if p := endProblem(ctx, x.executed()); p != nil {
+		return p
+	}
+	if failure.result == upstream.ResultShed {
+		return problem.New(problem.TypeOverloaded, x.executed(), "the upstream refused the request").After(failure.retryAfter)
+	}
+	return problem.New(problem.TypeUpstreamFailed, x.executed(), failure.detail)
+}
+
+func priorityOf(text string) configuration.Priority {
+	if text == string(configuration.PriorityAlert) {
+		return configuration.PriorityAlert
+	}
+	return configuration.PriorityNormal
+}
--- /dev/null
+++ b/internal/entry/forward/transport.go
@@ -0,0 +1,114 @@
+// Package forward sends requests to upstreams with net/http, each at most once,
+// and copies whole answers back.
+//
+// http.Transport resends a request by itself on a reused connection that
+// failed, if the request is replayable: it has no body or a GetBody function,
+// and its method is idempotent or its header map holds "Idempotency-Key" or
+// "X-Idempotency-Key". Transport makes every request not replayable, so that a
+// resend is possible only before the first byte was written.
+package forward
+
+import (
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	idleConnectionTimeout = 90 * time.Second
+	maxResponseHeadBytes  = 1 << 20
+	readBufferBytes       = 8 << 10
+	writeBufferBytes      = 8 << 10
+)
+
+// Transport sends requests to one upstream over a bounded set of HTTP/1.1
+// connections. It implements http.RoundTripper.
+type Transport struct {
+	dialer *dialer
+	base   *http.Transport
+}
+
+// NewTransport returns a transport that holds at most limit() connections open.
+func NewTransport(limit func() int) *Transport {
+	d := newDialer(limit)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	base := &http.Transport{
+		DialContext:            d.dialContext,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleConnectionTimeout,
+		MaxIdleConnsPerHost:    max(1, limit()),
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
+		ReadBufferSize:         readBufferBytes,
+		WriteBufferSize:        writeBufferBytes,
+		Protocols:              protocols,
+	}
+	return &Transport{dialer: d, base: base}
+}
+
+// Open returns the number of open connections.
+func (t *Transport) Open() int { return int(t.dialer.open.Load()) }
+
+// CloseIdleConnections closes the connections that carry no request.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// RoundTrip implements http.RoundTripper. A failure before the first byte was
+// written is a *Error with Executed "no".
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if t.dialer.open.Load() > int64(t.dialer.limit()) {
+		t.base.CloseIdleConnections()
+	}
+	return roundTrip(t.base, request)
+}
+
+// preventResend changes request, a copy of the caller's, so that http.Transport
+// does not take it for replayable.
+func preventResend(request *http.Request) *http.Request {
+	request.GetBody = nil
+	if request.Body == nil || request.Body == http.NoBody {
+		request.Body = emptyBodyFor(request.Method)
+	}
+	request.Header = hideIdempotencyKey(request.Header)
+	return request
+}
+
+// emptyBodyFor returns a body that http.Transport can't replay, where it leaves
+// the request's framing unchanged. The other methods are not replayable without
+// an idempotency key in the header map.
+func emptyBodyFor(method string) io.ReadCloser {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, "":
+		return emptyBody{}
+	default:
+		return http.NoBody
+	}
+}
+
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
+
+var idempotencyNames = [...][2]string{
+	{"Idempotency-Key", "idempotency-key"},
+	{"X-Idempotency-Key", "x-idempotency-key"},
+}
+
+// hideIdempotencyKey spells the names in lower case, which the wire format
+// allows and http.Transport does not look for. It leaves header unchanged.
+func hideIdempotencyKey(header http.Header) http.Header {
+	copied := false
+	for _, names := range idempotencyNames {
+		values, ok := header[names[0]]
+		if !ok {
+			continue
+		}
+		if !copied {
+			header = header.Clone()
+			copied = true
+		}
+		delete(header, names[0])
+		header[names[1]] = values
+	}
+	return header
+}
--- /dev/null
+++ b/internal/entry/guard/guard.go
@@ -0,0 +1,68 @@
+// Package guard detects requests whose framing is ambiguous on connections that
+// are served by net/http.
+//
+// net/http drops Content-Length when Transfer-Encoding is present and joins
+// folded lines, so that a handler can't see either. The guard follows the raw
+// bytes of each connection and keeps the first violation; a handler asks for it
+// and refuses the request.
+package guard
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Conn is a connection whose request framing is followed. Reads are made by one
+// goroutine at a time, as net/http does.
+type Conn struct {
+	net.Conn
+	scanner   scanner
+	violation atomic.Uint32
+}
+
+// NewConn wraps conn.
+func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.scanner.scan(p[:n])
+	if c.scanner.violation != ViolationNone {
+		c.violation.Store(uint32(c.scanner.violation))
+	}
+	return n, err
+}
+
+// Violation returns the first violation among the bytes read so far. A request
+// that was read before it may be refused with it, never the other way round.
+func (c *Conn) Violation() Violation { return Violation(c.violation.Load()) }
+
+// Listener wraps each accepted connection in a Conn.
+type Listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(conn), nil
+}
+
+type contextKey struct{}
+
+// ConnContext stores conn in ctx. It has the signature of http.Server.ConnContext.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if guarded, ok := conn.(*Conn); ok {
+		return context.WithValue(ctx, contextKey{}, guarded)
+	}
+	return ctx
+}
+
+// FromContext returns the guarded connection of a request's context, nil if the
+// connection is not guarded.
+func FromContext(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(contextKey{}).(*Conn)
+	return conn
+}
--- /dev/null
+++ b/internal/entry/headers.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strings"
+)
+
+// Headers of the product. Other headers with the prefix are removed from
+// requests and from answers.
+const (
+	headerPrefix     = "Peridotrail-"
+	DeadlineHeader   = "Peridotrail-Deadline-Ms"   // milliseconds that are left for the request
+	RequestIDHeader  = "Peridotrail-Request-Id"    // identifies one request of a caller in answers and logs
+	AccountHeader    = "Peridotrail-Account"       // client account, towards upstreams
+	ReplayedHeader   = "Peridotrail-Replayed"      // "true" on an answer that an earlier request received
+	IdempotencyKey   = "Idempotency-Key"           // makes a caller's retry run at most once
+	relayService     = "Peridotrail-Relay-Service" // towards other entry hosts only
+	relayAccount     = "Peridotrail-Relay-Account"
+	relayWeight      = "Peridotrail-Relay-Weight"
+	relayPriority    = "Peridotrail-Relay-Priority"
+	relayIdempotent  = "Peridotrail-Relay-Idempotent"
+	relayOrigin      = "Peridotrail-Relay-Origin"
+	relayGrant       = "Peridotrail-Relay-Grant"
+	authorization    = "Authorization"
+	maxUnescapeDepth = 3
+)
+
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Proxy-Connection":    true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Expect":              true,
+	"Content-Length":      true,
+}
+
+// protected headers may not be named by a Connection header.
+var protected = map[string]bool{
+	authorization:       true,
+	"Host":              true,
+	"Content-Length":    true,
+	"Content-Type":      true,
+	"Transfer-Encoding": true,
+	"Cookie":            true,
+	IdempotencyKey:      true,
+}
+
+// connectionTokens returns the canonical names that Connection headers list.
+func connectionTokens(header http.Header) []string {
+	values := header["Connection"]
+	if len(values) == 0 {
+		return nil
+	}
+	var tokens []string
+	for _, value := range values {
+		for token := range strings.SplitSeq(value, ",") {
+			if token = strings.Trim(token, " \t"); token != "" {
+				tokens = append(tokens, textproto.CanonicalMIMEHeaderKey(token))
+			}
+		}
+	}
+	return tokens
+}
+
+func isListed(tokens []string, name string) bool {
+	for _, token := range tokens {
+		if token == name {
+			return true
+		}
+	}
+	return false
+}
+
+// endToEnd copies the headers that pass a hop. Product headers and those named
+// by Connection are left out. The value slices are shared.
+func endToEnd(from http.Header) http.Header {
+	tokens := connectionTokens(from)
+	to := make(http.Header, len(from)+4)
+	for name, values := range from {
+		if hopByHop[name] || strings.HasPrefix(name, headerPrefix) || isListed(tokens, name) {
+			continue
+		}
+		to[name] = values
+	}
+	return to
+}
+
+// removeKey removes key from header wherever it occurs.
+func removeKey(header http.Header, key string) {
+	for name, values := range header {
+		if !anyContains(values, key) {
+			continue
+		}
+		delete(header, name)
+		if name == "Cookie" {
+			setCookies(header, values, key)
+		}
+	}
+}
+
+func anyContains(values []string, key string) bool {
+	for _, value := range values {
+		if containsKey(value, key) {
+			return true
+		}
+	}
+	return false
+}
+
+func setCookies(header http.Header, values []string, key string) {
+	var kept []string
+	for _, value := range values {
+		for cookie := range strings.SplitSeq(value, ";") {
+			if cookie = strings.TrimSpace(cookie); cookie != "" && !containsKey(cookie, key) {
+				kept = append(kept, cookie)
+			}
+		}
+	}
+	if len(kept) > 0 {
+		header["Cookie"] = []string{strings.Join(kept, "; ")}
+	}
+}
+
+// containsKey reports whether text holds key as it is or percent-encoded.
+func containsKey(text, key string) bool {
+	for range maxUnescapeDepth {
+		if strings.Contains(text, key) {
+			return true
+		}
+		if strings.IndexByte(text, '%') < 0 {
+			return plusContains(text, key)
+		}
+		decoded, err := url.PathUnescape(text)
+		if err != nil {
+			return plusContains(text, key)
+		}
+		if plusContains(text, key) {
+			return true
+		}
+		text = decoded
+	}
+	return strings.Contains(text, key)
+}
+
+// plusContains looks for a key with spaces that were written as plus signs.
+func plusContains(text, key string) bool {
+	return strings.IndexByte(key, ' ') >= 0 && strings.Contains(strings.ReplaceAll(text, "+", " "), key)
+}
+
+// withoutKey returns the raw query without the parameters that hold key.
+func withoutKey(rawQuery, key string) string {
+	if rawQuery == "" || !containsKey(rawQuery, key) && !invalidEscape(rawQuery) {
+		return rawQuery
+	}
+	var kept []string
+	for pair := range strings.SplitSeq(rawQuery, "&") {
+		if !containsKey(pair, key) && !invalidEscape(pair) {
+			kept = append(kept, pair)
+		}
+	}
+	return strings.Join(kept, "&")
+}
+
+func invalidEscape(text string) bool {
+	if strings.IndexByte(text, '%') < 0 {
+		return false
+	}
+	_, err := url.PathUnescape(text)
+	return err != nil
+}
--- /dev/null
+++ b/internal/entry/relay.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+
+	"peridotrail/internal/problem"
+	"peridotrail/internal/upstream"
+)
+
+// addRelayHeaders tells the peer what this host decided about the request.
+func (x *exchange) addRelayHeaders(header http.Header, target upstream.Target) {
+	header[relayService] = []string{x.service.Name}
+	header[relayAccount] = []string{x.account}
+	header[relayWeight] = []string{strconv.Itoa(x.weight)}
+	header[relayPriority] = []string{string(x.priority)}
+	header[relayIdempotent] = []string{strconv.FormatBool(x.idempotent)}
+	header[relayGrant] = []string{strconv.FormatUint(target.Grant, 10)}
+}
+
+// RelayHandler serves requests that other entry hosts relayed over their
+// mutually authenticated streams. The origin has authenticated and admitted
+// them; they run at upstreams of this failure domain or are refused as not run.
+// It must not be reachable by callers.
+func (f *FrontDoor) RelayHandler() http.Handler {
+	return f.outer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x := exchangeOf(r)
+		x.relayed = true
+		x.policy = f.options.Policy()
+		if x.policy == nil {
+			x.refuse(w, problem.New(problem.TypeNotReady, problem.ExecutedNo, ""))
+			return
+		}
+		if p := x.readRelay(r); p != nil {
+			x.refuse(w, p)
+			return
+		}
+		f.limitTime(f.dispatch()).ServeHTTP(w, r)
+	}))
+}
+
+func (x *exchange) readRelay(r *http.Request) *problem.Problem {
+	header := r.Header
+	x.service = x.policy.Service(header.Get(relayService))
+	if x.service == nil {
+		return problem.New(problem.TypeNotFound, problem.ExecutedNo, "the service is unknown at this host")
+	}
+	if id := header.Get(RequestIDHeader); id != "" {
+		x.id = id
+	}
+	_, x.path = cutService(r.URL.Path)
+	_, x.rawPath = cutService(r.URL.EscapedPath())
+	x.account = header.Get(relayAccount)
+	x.weight, _ = strconv.Atoi(header.Get(relayWeight)) // zero counts as one
+	x.priority = priorityOf(header.Get(relayPriority))
+	x.idempotent = header.Get(relayIdempotent) == "true"
+	x.origin = header.Get(relayOrigin)
+	x.grant, _ = strconv.ParseUint(header.Get(relayGrant), 10, 64) // zero names no grant
+	return nil
+}
