Add distribution of configurations and state documents

Cause: an accepted configuration must be in force on every host within seconds, also for hosts that the store or the leader cannot reach. Change: domain leaders follow the store and push; hosts fetch missing chunks from the host that proposed them and ask peers of their own and other domains; leaders confirm what is in force on all live hosts of a domain.

--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -22,7 +22,7 @@
 	maxDeadline       = time.Hour
 	maxInterval       = 24 * time.Hour
 	maxWindow         = 366 * 24 * time.Hour
-	minStaleAge       = 10 * time.Second
+	minStaleAge       = 30 * time.Second
 	maxStaleAge       = 30 * 24 * time.Hour
 	maxEgress         = 1e15 // bytes per second
 )
--- /dev/null
+++ b/internal/distribution/cluster_test.go
@@ -0,0 +1,195 @@
+package distribution
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"peridotrail/internal/configuration"
+	"peridotrail/internal/fleet/fleettest"
+	"peridotrail/internal/host"
+	"peridotrail/internal/platform"
+	"peridotrail/internal/standin/store"
+)
+
+// cluster is a set of hosts with a store in memory.
+type cluster struct {
+	t       *testing.T
+	store   *store.Store
+	network *fleettest.Network
+	hosts   map[host.ID]*node
+
+	mu      sync.Mutex
+	leaders map[string]leader // by failure domain
+	states  map[host.ID]host.State
+}
+
+type leader struct {
+	id    host.ID
+	epoch uint64
+}
+
+// node is one host. It implements host.View and Leadership.
+type node struct {
+	cluster  *cluster
+	identity host.Identity
+	inForce  *configuration.InForce
+	*Distributor
+}
+
+func (n *node) Self() host.Identity { return n.identity }
+
+func (n *node) Members() []host.Member {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	var members []host.Member
+	for id, other := range n.cluster.hosts {
+		if id != n.identity.ID {
+			members = append(members, host.Member{Identity: other.identity, State: n.cluster.states[id]})
+		}
+	}
+	return members
+}
+
+func (n *node) Leading() (uint64, bool) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	l := n.cluster.leaders[n.identity.FailureDomain]
+	return l.epoch, l.id == n.identity.ID
+}
+
+// newCluster starts perDomain hosts in each failure domain; the first of each
+// leads. It must be called in a bubble.
+func newCluster(t *testing.T, perDomain int, domains ...string) *cluster {
+	c := &cluster{
+		t: t, store: store.New(), network: fleettest.New(1),
+		hosts: map[host.ID]*node{}, leaders: map[string]leader{}, states: map[host.ID]host.State{},
+	}
+	c.network.SetFaults(fleettest.Faults{MinDelay: time.Millisecond, MaxDelay: 12 * time.Millisecond})
+	for _, domain := range domains {
+		for i := range perDomain {
+			id := host.ID(fmt.Sprintf("%s-%d", domain, i))
+			if i == 0 {
+				c.leaders[domain] = leader{id, 1}
+			}
+			c.start(id, domain, 1)
+		}
+	}
+	return c
+}
+
+// start runs one process until the test ends. A later process of the same host
+// takes the place of the earlier one.
+func (c *cluster) start(id host.ID, domain string, incarnation host.Incarnation) *node {
+	c.mu.Lock()
+	port := uint16(1000 + len(c.hosts))
+	if old := c.hosts[id]; old != nil {
+		port = old.identity.Fleet.Port()
+	}
+	identity := host.Identity{
+		ID: id, Incarnation: incarnation, FailureDomain: domain, Region: "r",
+		Fleet: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port),
+	}
+	n := &node{cluster: c, identity: identity, inForce: configuration.NewInForce()}
+	c.hosts[id] = n
+	c.mu.Unlock()
+	joined := c.network.Join(identity)
+	n.Distributor = New(Config{
+		Self: identity, Store: c.store.Client(store.Caller{Host: string(id), FailureDomain: domain}),
+		Caller: joined, Registry: joined, View: n, Leadership: n, InForce: n.inForce,
+	})
+	ctx, cancel := context.WithCancel(c.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Run(ctx)
+	}()
+	c.t.Cleanup(func() { cancel(); <-done })
+	return n
+}
+
+func (c *cluster) lead(domain string, id host.ID, epoch uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaders[domain] = leader{id, epoch}
+}
+
+// commit makes a configuration with the given regions the next revision.
+func (c *cluster) commit(change func(*configuration.Configuration), regions ...string) configuration.Revision {
+	r := configuration.NewRepository(configuration.RepositoryConfig{Store: c.store})
+	stored, err := r.Load(c.t.Context())
+	require.NoError(c.t, err)
+	base := configuration.Revision(0)
+	if stored != nil {
+		base = stored.Revision
+	}
+	next := &configuration.Configuration{}
+	for _, name := range regions {
+		next.Regions = append(next.Regions, configuration.Region{Name: name})
+	}
+	if change != nil {
+		change(next)
+	}
+	revision, err := r.Commit(c.t.Context(), base, next)
+	require.NoError(c.t, err)
+	return revision
+}
+
+// behind lists the hosts that do not have revision in force.
+func (c *cluster) behind(revision configuration.Revision) []host.ID {
+	var behind []host.ID
+	for id, n := range c.hosts {
+		if n.inForce.Revision() != revision {
+			behind = append(behind, id)
+		}
+	}
+	return behind
+}
+
+// within fails unless condition holds after at most d.
+func (c *cluster) within(d time.Duration, condition func() bool, message string) time.Duration {
+	c.t.Helper()
+	start := time.Now()
+	for !condition() {
+		require.LessOrEqual(c.t, time.Since(start), d, message)
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func (c *cluster) everywhere(revision configuration.Revision, d time.Duration) {
+	c.t.Helper()
+	took := c.within(d, func() bool { return len(c.behind(revision)) == 0 }, "not in force everywhere")
+	c.t.Logf("revision %d in force on %d hosts after %v", revision, len(c.hosts), took)
+}
+
+func (c *cluster) confirmation(domain string) Confirmation {
+	entry, err := c.store.Get(c.t.Context(), ConfirmationKey(domain))
+	require.NoError(c.t, err)
+	var confirmed Confirmation
+	if entry.Exists() {
+		require.NoError(c.t, json.Unmarshal(entry.Value, &confirmed))
+	}
+	return confirmed
+}
+
+func (c *cluster) write(key, value string) platform.Entry {
+	old, err := c.store.Get(c.t.Context(), key)
+	require.NoError(c.t, err)
+	entry, err := c.store.CompareAndSwap(c.t.Context(), platform.Write{Key: key, Value: []byte(value), Expected: old.Revision})
+	require.NoError(c.t, err)
+	return entry
+}
+
+// inBubble runs a test with a clock of its own.
+func inBubble(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, test)
+}
--- /dev/null
+++ b/internal/distribution/handlers.go
@@ -0,0 +1,103 @@
+package distribution
+
+import (
+	"context"
+	"time"
+
+	"peridotrail/internal/configuration"
+	"peridotrail/internal/fleet"
+	"peridotrail/internal/host"
+)
+
+// offerWaitShare is the part of the call's time that a receiver waits for a
+// pushed configuration to be in force.
+const offerWaitShare = 0.75
+
+// handleOffer takes in what a leader pushes. It answers when the configuration
+// is in force, or with the revision in force when that takes too long.
+func (d *Distributor) handleOffer(ctx context.Context, from host.Identity, decode fleet.Decoder) (any, error) {
+	var offer Offer
+	if err := decode(&offer); err != nil {
+		return nil, err
+	}
+	d.exchanged(from, time.Now(), offer.Contact)
+	d.state.put(offer.Documents)
+	if len(offer.Manifest) > 0 {
+		if err := d.takeOffer(ctx, from, offer.Manifest); err != nil {
+			return nil, err
+		}
+	}
+	return OfferReply{Revision: d.config.InForce.Revision(), Versions: d.state.versions()}, nil
+}
+
+func (d *Distributor) takeOffer(ctx context.Context, from host.Identity, manifest []byte) error {
+	decoded, err := configuration.DecodeManifest(manifest)
+	if err != nil {
+		return err
+	}
+	subscription := d.config.InForce.Subscribe()
+	defer subscription.Close()
+	if err := d.propose(ctx, manifest, source{peer: from}); err != nil {
+		return err
+	}
+	timer := time.NewTimer(time.Duration(offerWaitShare * float64(d.config.CallTimeout)))
+	defer timer.Stop()
+	for d.config.InForce.Revision() < decoded.Revision {
+		select {
+		case <-subscription.Changed():
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
+// handleSync answers with what the asking host lacks.
+func (d *Distributor) handleSync(_ context.Context, from host.Identity, decode fleet.Decoder) (any, error) {
+	var request SyncRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	if from.FailureDomain != d.config.Self.FailureDomain {
+		d.contact.seen(now)
+	} else {
+		d.reports.TryPush(report{peer: from, revision: request.Revision, versions: request.Versions})
+	}
+	return d.offerFor(request.Revision, request.Versions, now), nil
+}
+
+// offerFor returns what a host that holds the given revisions lacks.
+func (d *Distributor) offerFor(revision configuration.Revision, versions []Version, now time.Time) Offer {
+	offer := Offer{Documents: d.state.newerThan(versions), Contact: d.contact.age(now)}
+	if published := d.published.Load(); published != nil && published.revision > revision {
+		offer.Manifest = published.manifest
+	}
+	return offer
+}
+
+// handleChunks serves chunks of the published configuration.
+func (d *Distributor) handleChunks(_ context.Context, _ host.Identity, decode fleet.Decoder) (any, error) {
+	var request ChunksRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	var reply ChunksReply
+	published := d.published.Load()
+	if published == nil {
+		return reply, nil
+	}
+	size := 0
+	for _, digest := range request.Digests {
+		data := published.chunks[digest]
+		size += len(data)
+		full := size > chunksReplyBytes && len(reply.Chunks) > 0
+		if data == nil || full {
+			break
+		}
+		reply.Chunks = append(reply.Chunks, data)
+	}
+	return reply, nil
+}
