--- a/internal/clientaccount/enforcer.go
+++ b/internal/clientaccount/enforcer.go
@@ -58,3 +58,14 @@
 		e.Withdrawn(ended)
 	}
 }
+
+// SnapshotKeys adapts the configuration in force to Enforcer.InForce.
+func SnapshotKeys(current func() *configuration.Snapshot) func() (Keys, configuration.Revision) {
+	return func() (Keys, configuration.Revision) {
+		snapshot := current()
+		if snapshot == nil {
+			return nil, 0
+		}
+		return snapshot, snapshot.Revision
+	}
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -36,13 +36,18 @@
 
 func (f *FrontDoor) attempts(w http.ResponseWriter, r *http.Request, x *exchange) {
 	work := x.work()
+	var failure *sendFailure
 	for attempt := 1; ; attempt++ {
 		permit, err := f.options.Dispatcher.Acquire(r.Context(), work)
+		if err != nil && failure != nil {
+			x.refuse(w, x.sendProblem(r.Context(), failure))
+			return
+		}
 		if err != nil {
 			x.refuse(w, x.dispatchProblem(r.Context(), err))
 			return
 		}
-		failure := f.send(w, r, x, permit)
+		failure = f.send(w, r, x, permit)
 		if failure == nil {
 			return
 		}
--- /dev/null
+++ b/internal/entry/forward/transport_test.go
@@ -0,0 +1,242 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"peridotrail/internal/problem"
+)
+
+// flakyServer answers the first request of each connection and closes the
+// connection after it has read the second, without an answer.
+type flakyServer struct {
+	listener net.Listener
+	heads    atomic.Int64 // requests read
+	conns    atomic.Int64
+}
+
+func newFlakyServer(t *testing.T) *flakyServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &flakyServer{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *flakyServer) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for i := range 2 {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.heads.Add(1)
+		if i == 0 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
+
+func (s *flakyServer) request(t *testing.T, method, body string) *http.Request {
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+s.listener.Addr().String()+"/", strings.NewReader(body))
+	require.NoError(t, err)
+	r.Header.Set("Idempotency-Key", "k")
+	r.Header.Set("X-Idempotency-Key", "k")
+	return r
+}
+
+func warm(t *testing.T, transport http.RoundTripper, r *http.Request) {
+	response, err := transport.RoundTrip(r)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+}
+
+func TestTransportNeverResends(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"} {
+		for _, body := range []string{"", "adult"} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				s := newFlakyServer(t)
+				transport := NewTransport(func() int { return 4 })
+				defer transport.CloseIdleConnections()
+				warm(t, transport, s.request(t, "POST", "warm"))
+				_, err := transport.RoundTrip(s.request(t, method, body))
+				var failure *Error
+				require.ErrorAs(t, err, &failure)
+				require.Equal(t, problem.ExecutedUnknown, failure.Executed)
+				require.Equal(t, PhaseSend, failure.Phase)
+				require.Equal(t, int64(2), s.heads.Load())
+				require.Equal(t, int64(1), s.conns.Load())
+			})
+		}
+	}
+}
+
+// The same request is resent by http.Transport itself, so that the test above
+// can fail.
+func TestPlainTransportResends(t *testing.T) {
+	s := newFlakyServer(t)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	warm(t, transport, s.request(t, "POST", "warm"))
+	warm(t, transport, s.request(t, "POST", ""))
+	require.Equal(t, int64(3), s.heads.Load())
+}
+
+func TestFramingOfEmptyBodiesIsUnchanged(t *testing.T) {
+	for method, want := range map[string]string{"GET": "", "HEAD": "", "OPTIONS": "", "DELETE": "", "POST": "0", "PUT": "0", "PATCH": "0"} {
+		t.Run(method, func(t *testing.T) {
+			seen := make(chan *http.Request, 1)
+			server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { seen <- r })}
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			go func() { _ = server.Serve(listener) }()
+			defer server.Close()
+			transport := NewTransport(func() int { return 4 })
+			r, err := http.NewRequestWithContext(t.Context(), method, "http://"+listener.Addr().String()+"/", http.NoBody)
+			require.NoError(t, err)
+			r.Header.Set("Idempotency-Key", "k")
+			warm(t, transport, r)
+			got := <-seen
+			require.Empty(t, got.TransferEncoding)
+			require.Equal(t, want, got.Header.Get("Content-Length"))
+			require.Equal(t, "k", got.Header.Get("Idempotency-Key"))
+		})
+	}
+}
+
+func TestRefusedConnectionDidNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	transport := NewTransport(func() int { return 4 })
+	r, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+address+"/", strings.NewReader("a"))
+	require.NoError(t, err)
+	_, err = transport.RoundTrip(r)
+	var failure *Error
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, problem.ExecutedNo, failure.Executed)
+	require.Equal(t, PhaseConnect, failure.Phase)
+	require.Zero(t, transport.Open())
+}
+
+func TestConnectionsStayWithinTheLimit(t *testing.T) {
+	release := make(chan struct{})
+	started := make(chan struct{}, 8)
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		started <- struct{}{}
+		<-release
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	transport := NewTransport(func() int { return 2 })
+	send := func(ctx context.Context) error {
+		r, _ := http.NewRequestWithContext(ctx, "GET", "http://"+listener.Addr().String()+"/", nil)
+		response, err := transport.RoundTrip(r)
+		if err == nil {
+			response.Body.Close()
+		}
+		return err
+	}
+	ended := make(chan error, 2)
+	for range 2 {
+		go func() { ended <- send(t.Context()) }()
+	}
+	<-started
+	<-started
+	err = send(t.Context())
+	var limit *ConnectionLimitError
+	require.ErrorAs(t, err, &limit)
+	var failure *Error
+	require.True(t, errors.As(err, &failure))
+	require.Equal(t, problem.ExecutedNo, failure.Executed)
+	close(release)
+	require.NoError(t, <-ended)
+	require.NoError(t, <-ended)
+}
+
+// A late second answer on a connection must not become the answer to the next
+// request.
+func TestLateAnswerMeetsNoOtherRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	late := make(chan struct{})
+	go func() {
+		for first := true; ; first = false {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			in := bufio.NewReader(conn)
+			for {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					break
+				}
+				name := r.URL.Path[1:]
+				answer := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + name
+				_, _ = io.WriteString(conn, answer)
+				if first && name == "a" {
+					_, _ = io.WriteString(conn, answer)
+					_, _ = in.Peek(1) // the client closes the connection
+					close(late)
+				}
+			}
+			conn.Close()
+		}
+	}()
+	transport := NewTransport(func() int { return 4 })
+	defer transport.CloseIdleConnections()
+	get := func(name string) string {
+		r, err := http.NewRequestWithContext(t.Context(), "GET", "http://"+listener.Addr().String()+"/"+name, nil)
+		require.NoError(t, err)
+		response, err := transport.RoundTrip(r)
+		require.NoError(t, err)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return string(body)
+	}
+	require.Equal(t, "a", get("a"))
+	<-late
+	require.Equal(t, "b", get("b"))
+}
+
+// After a failed request has been called "not run", its write goroutine can't
+// send it any more.
+func TestSealedConnectionSendsNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &conn{Conn: near, onClose: func() {}}
+	a := &attempt{conn: c, before: 0}
+	require.Equal(t, problem.ExecutedNo, a.executed())
+	_, err := c.Write([]byte("POST"))
+	require.ErrorIs(t, err, net.ErrClosed)
+	require.NoError(t, c.Close())
+}
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -65,3 +65,13 @@
 		return permit, nil
 	})
 }
+
+// SnapshotPolicy adapts the configuration in force to Options.Policy.
+func SnapshotPolicy(current func() *configuration.Snapshot) func() Policy {
+	return func() Policy {
+		if snapshot := current(); snapshot != nil {
+			return snapshot
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/entry/retry_test.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"peridotrail/internal/problem"
+)
+
+// dyingUpstream reads each request and closes the connection without an answer.
+func dyingUpstream(t *testing.T, seen *atomic.Int64) netip.AddrPort {
+	return serveRaw(t, func(_ net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		seen.Add(1)
+	})
+}
+
+// sheddingUpstream says of each request that it did not run it.
+func sheddingUpstream(t *testing.T, seen *atomic.Int64, status int) netip.AddrPort {
+	return serveUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		seen.Add(1)
+		w.Header().Set(problem.ExecutedHeader, string(problem.ExecutedNo))
+		w.Header().Set("Retry-After", "7")
+		w.WriteHeader(status)
+	})
+}
+
+func okUpstream(t *testing.T, seen *atomic.Int64) netip.AddrPort {
+	return serveUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		_, _ = io.Copy(w, r.Body)
+	})
+}
+
+func closedPort(t *testing.T) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	require.NoError(t, listener.Close())
+	return address
+}
+
+func TestOnlySafeRequestsGoToAnotherUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		method     string
+		first      string
+		status     int
+		executed   string
+		reachesTwo int64
+	}{
+		{"idempotent after a lost answer", "GET", "dying", 200, "", 1},
+		{"other after a lost answer", "POST", "dying", 502, "unknown", 0},
+		{"idempotent after shedding", "GET", "shedding", 200, "", 1},
+		{"other after shedding", "POST", "shedding", 200, "", 1},
+		{"other without a connection", "POST", "closed", 200, "", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var one, two atomic.Int64
+			var first netip.AddrPort
+			switch c.first {
+			case "dying":
+				first = dyingUpstream(t, &one)
+			case "shedding":
+				first = sheddingUpstream(t, &one, http.StatusServiceUnavailable)
+			default:
+				first = closedPort(t)
+			}
+			h := newHarness(t, nil, first, okUpstream(t, &two))
+			response, _ := h.do(h.request(c.method, "/desk/x", "adult"))
+			require.Equal(t, c.status, response.StatusCode)
+			require.Equal(t, c.executed, response.Header.Get(problem.ExecutedHeader))
+			require.Equal(t, c.reachesTwo, two.Load())
+			require.LessOrEqual(t, one.Load(), int64(1))
+		})
+	}
+}
+
+func TestShedRequestIsRefusedAsNotRun(t *testing.T) {
+	var seen atomic.Int64
+	h := newHarness(t, nil, sheddingUpstream(t, &seen, http.StatusTooManyRequests))
+	response, body := h.do(h.request("POST", "/desk/x", "adult"))
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "no", response.Header.Get(problem.ExecutedHeader))
+	require.Equal(t, "7", response.Header.Get("Retry-After"))
+	require.Contains(t, body, string(problem.TypeOverloaded))
+}
+
+// A request that may have run at the first upstream is not called "not run"
+// because the second one refused it.
+func TestRefusalAfterALostAnswerIsUnknown(t *testing.T) {
+	var one, two atomic.Int64
+	h := newHarness(t, nil, dyingUpstream(t, &one), sheddingUpstream(t, &two, http.StatusServiceUnavailable))
+	response, _ := h.do(h.request("GET", "/desk/x", ""))
+	require.Equal(t, "unknown", response.Header.Get(problem.ExecutedHeader))
+	require.Equal(t, int64(1), two.Load())
+}
+
+// Status 503 without the upstream's word is an answer like any other.
+func TestUpstreamErrorIsPassedOnWhole(t *testing.T) {
+	h := newHarness(t, nil, serveUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "centre closed")
+	}))
+	response, body := h.do(h.request("POST", "/desk/x", ""))
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "centre closed", body)
+	require.Empty(t, response.Header.Get(problem.ExecutedHeader))
+}
