--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,388 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"peridotrail/internal/host"
+)
+
+// Timing holds the time limits of a Table.
+type Timing struct {
+	Period       time.Duration // between heartbeats in a small domain
+	RemotePeriod time.Duration // between heartbeats to other domains
+	SuspectAfter int           // periods of silence after which a host is suspect
+	GoneAfter    time.Duration // silence after which a host is gone
+	ForgetAfter  time.Duration // silence after which a gone host is forgotten
+	StaleAfter   time.Duration // age of a summary after which its live hosts count as suspect
+	PauseBound   time.Duration // gap between ticks after which the view is stale
+}
+
+// DefaultTiming returns the limits used in production.
+func DefaultTiming() Timing {
+	return Timing{
+		Period:       time.Second,
+		RemotePeriod: 2 * time.Second,
+		SuspectAfter: 3,
+		GoneAfter:    30 * time.Second,
+		ForgetAfter:  time.Hour,
+		StaleAfter:   20 * time.Second,
+		PauseBound:   2 * time.Second,
+	}
+}
+
+const (
+	meshLimit      = 8  // hosts of a domain that all exchange heartbeats with each other
+	ringNeighbours = 2  // successors that a host of a larger domain exchanges heartbeats with
+	leaderRate     = 20 // heartbeats per second that a leader receives from its domain
+	candidateCount = 3  // first live hosts of a domain that may become its leader
+)
+
+// Leadership is what a table knows of its domain's leader.
+type Leadership struct {
+	Leader host.ID
+	Epoch  uint64
+}
+
+// member is a host known to a Table.
+type member struct {
+	identity host.Identity
+	state    host.State
+	heard    time.Time     // of the last heartbeat received here; zero if none
+	period   time.Duration // announced by the host
+	reported host.State    // in the last summary
+	listed   bool          // in a summary
+	leaving  bool
+	changed  uint64 // sequence of the last change in the summary of its domain
+	digest   Digest
+	received time.Time // of digest
+}
+
+// domain is what is known of one failure domain.
+type domain struct {
+	stamp     Stamp
+	leader    host.ID
+	confirmed time.Time // when the stamp was last confirmed
+	base      uint64    // changes after this sequence are known
+	digest    DomainDigest
+}
+
+// Table is the state of membership at one host. It is pure: time is passed in
+// and nothing is sent. It is not safe for concurrent use.
+type Table struct {
+	self       host.Identity
+	timing     Timing
+	leadership Leadership
+	leaving    bool
+	members    map[host.ID]*member
+	domains    map[string]*domain
+	sequence   uint64    // of the own domain's summary
+	peerCache  []*member // result of peers; nil if it must be made again
+	lastTick   time.Time
+	stale      bool
+	refreshed  time.Time // last exchange with a host of the own domain
+}
+
+// NewTable returns a table that knows only this host.
+func NewTable(self host.Identity, timing Timing, now time.Time) *Table {
+	t := &Table{
+		self:     self,
+		timing:   timing,
+		members:  map[host.ID]*member{},
+		domains:  map[string]*domain{},
+		sequence: uint64(self.Incarnation),
+		lastTick: now,
+	}
+	t.domains[self.FailureDomain] = &domain{confirmed: now, base: t.sequence}
+	return t
+}
+
+// SetLeadership notes the leader of the own domain.
+func (t *Table) SetLeadership(leadership Leadership) {
+	if leadership == t.leadership {
+		return
+	}
+	t.leadership = leadership
+	t.peerCache = nil
+	t.restart(t.sequence + 1)
+}
+
+// restart makes the own domain's summary begin at sequence, so that holders of
+// earlier ones get it complete.
+func (t *Table) restart(sequence uint64) {
+	t.sequence = sequence
+	t.domain(t.self.FailureDomain).base = sequence
+}
+
+// Leave marks this host as leaving in what it tells others.
+func (t *Table) Leave() {
+	t.leaving = true
+	t.sequence++
+}
+
+// Heard notes a heartbeat from a host. It returns a *StaleIncarnationError, and
+// changes nothing, if a later process of that host is known.
+func (t *Table) Heard(now time.Time, from host.Identity, beat Heartbeat) error {
+	m, known := t.members[from.ID]
+	if known && from.Incarnation < m.identity.Incarnation {
+		return &StaleIncarnationError{Host: from.ID, Got: from.Incarnation, Known: m.identity.Incarnation}
+	}
+	if !known {
+		m = &member{state: host.StateGone}
+		t.members[from.ID] = m
+	}
+	replaced := !m.identity.Same(from)
+	m.identity = from
+	if replaced {
+		m.leaving = false
+		t.touch(m)
+	}
+	m.heard = now
+	m.period = time.Duration(beat.Period) * time.Millisecond
+	m.leaving = m.leaving || beat.Leaving
+	m.digest = beat.Digest
+	m.received = now
+	t.update(m, now)
+	if from.FailureDomain == t.self.FailureDomain {
+		t.refreshed = now
+		t.stale = false
+		t.noteStamp(beat.Own)
+	}
+	t.noteDomains(now, from, beat)
+	return nil
+}
+
+// noteStamp moves this host's summary past a stamp that a host of its domain
+// holds from an earlier speaker.
+func (t *Table) noteStamp(held Stamp) {
+	own := t.ownStamp()
+	if t.Speaker() == t.self.ID && held.Epoch == own.Epoch && own.Less(held) {
+		t.restart(held.Sequence + 1)
+	}
+}
+
+// noteDomains confirms summaries that the sender vouches for.
+func (t *Table) noteDomains(now time.Time, from host.Identity, beat Heartbeat) {
+	own := from.FailureDomain == t.self.FailureDomain
+	if beat.Speaker && !own {
+		d := t.domain(from.FailureDomain)
+		if d.stamp == beat.Own {
+			d.confirmed = now
+		}
+	}
+	if own && beat.Speaker && beat.Known == t.Known() {
+		for name, d := range t.domains {
+			if !slices.Contains(beat.Stale, name) {
+				d.confirmed = now
+			}
+		}
+	}
+	for _, digest := range beat.Domains {
+		if digest.Domain == t.self.FailureDomain || (!own && digest.Domain != from.FailureDomain) {
+			continue
+		}
+		d := t.domain(digest.Domain)
+		digest.Received = now
+		d.digest = digest
+	}
+	for _, peer := range beat.Capacity {
+		m, ok := t.members[peer.Identity.ID]
+		if own && ok && m.identity.Same(peer.Identity) && now.Sub(m.heard) > t.heartbeatPeriod() {
+			m.digest = peer.Digest
+			m.received = now
+		}
+	}
+}
+
+func (t *Table) domain(name string) *domain {
+	d, ok := t.domains[name]
+	if !ok {
+		d = &domain{}
+		t.domains[name] = d
+	}
+	return d
+}
+
+// Tick moves members on whose heartbeats are late. A gap between ticks longer
+// than the pause bound makes the view stale: silence during the gap is not held
+// against the others.
+func (t *Table) Tick(now time.Time) {
+	gap := now.Sub(t.lastTick)
+	t.lastTick = now
+	if gap > t.timing.PauseBound {
+		t.stale = true
+		t.forgive(gap, now)
+	}
+	for id, m := range t.members {
+		if m.state == host.StateGone && t.silence(m, now) > t.timing.ForgetAfter {
+			d := t.domain(m.identity.FailureDomain)
+			d.base = max(d.base, m.changed)
+			delete(t.members, id)
+			continue
+		}
+		t.update(m, now)
+	}
+}
+
+func (t *Table) forgive(gap time.Duration, now time.Time) {
+	for _, m := range t.members {
+		m.heard = postpone(m.heard, gap, now)
+	}
+	for _, d := range t.domains {
+		d.confirmed = postpone(d.confirmed, gap, now)
+	}
+}
+
+// postpone moves an event by gap, but not past now.
+func postpone(event time.Time, gap time.Duration, now time.Time) time.Time {
+	if event.IsZero() {
+		return event
+	}
+	moved := event.Add(gap)
+	if moved.After(now) {
+		return now
+	}
+	return moved
+}
+
+func (t *Table) silence(m *member, now time.Time) time.Duration {
+	if m.heard.IsZero() {
+		return now.Sub(t.domain(m.identity.FailureDomain).confirmed)
+	}
+	return now.Sub(m.heard)
+}
+
+// update recomputes the state of a member.
+func (t *Table) update(m *member, now time.Time) {
+	state := t.observe(m, now)
+	if state != m.state {
+		m.state = state
+		t.touch(m)
+	}
+}
+
+// touch notes a change for the own domain's summary.
+func (t *Table) touch(m *member) {
+	if m.identity.ID != "" && m.identity.FailureDomain != t.self.FailureDomain {
+		return
+	}
+	t.sequence++
+	m.changed = t.sequence
+	t.peerCache = nil
+}
+
+// observe gives the state of a member by its heartbeats if they should arrive
+// here, else by the summary of its domain.
+func (t *Table) observe(m *member, now time.Time) host.State {
+	silent := now.Sub(m.heard)
+	limit := time.Duration(t.timing.SuspectAfter) * max(m.period, t.timing.Period)
+	direct := !m.heard.IsZero() && silent < limit
+	switch {
+	case direct && m.leaving:
+		return host.StateLeaving
+	case direct:
+		return host.StateLive
+	case m.listed && !t.monitors(m):
+		return t.listedState(m, now)
+	case m.heard.IsZero() || silent >= t.timing.GoneAfter:
+		return host.StateGone
+	case m.leaving:
+		return host.StateLeaving
+	default:
+		return host.StateSuspect
+	}
+}
+
+func (t *Table) listedState(m *member, now time.Time) host.State {
+	age := now.Sub(t.domain(m.identity.FailureDomain).confirmed)
+	if m.reported == host.StateLive && age > t.timing.StaleAfter {
+		return host.StateSuspect
+	}
+	return m.reported
+}
+
+// monitors reports whether heartbeats of the member must arrive here.
+func (t *Table) monitors(m *member) bool {
+	if m.identity.FailureDomain != t.self.FailureDomain {
+		return false
+	}
+	return t.isLeader() || t.mesh()
+}
+
+func (t *Table) isLeader() bool { return t.leadership.Leader == t.self.ID }
+
+// mesh reports whether all hosts of the own domain exchange heartbeats.
+func (t *Table) mesh() bool { return len(t.peers()) < meshLimit }
+
+// peers returns the members of the own domain that are not gone, here or in the
+// leader's summary, sorted by ID.
+func (t *Table) peers() []*member {
+	if t.peerCache != nil {
+		return t.peerCache
+	}
+	found := []*member{}
+	for _, m := range t.members {
+		if m.identity.FailureDomain == t.self.FailureDomain && t.present(m) {
+			found = append(found, m)
+		}
+	}
+	sortMembers(found)
+	t.peerCache = found
+	return found
+}
+
+func (t *Table) present(m *member) bool {
+	listed := m.listed && m.reported != host.StateGone && !t.isLeader()
+	return m.state != host.StateGone || listed
+}
+
+func sortMembers(members []*member) {
+	slices.SortFunc(members, func(a, b *member) int { return cmp.Compare(a.identity.ID, b.identity.ID) })
+}
+
+// heartbeatPeriod grows with the domain, so that its leader receives at most
+// leaderRate heartbeats per second.
+func (t *Table) heartbeatPeriod() time.Duration {
+	size := len(t.peers())
+	if size < meshLimit {
+		return t.timing.Period
+	}
+	return max(t.timing.Period, time.Duration(size)*time.Second/leaderRate)
+}
+
+// Speaker returns the host that makes the summary of the own domain: the leader,
+// or the first live host while there is none.
+func (t *Table) Speaker() host.ID {
+	if t.leadership.Leader == t.self.ID {
+		return t.self.ID
+	}
+	if m, ok := t.members[t.leadership.Leader]; ok && m.state == host.StateLive {
+		return m.identity.ID
+	}
+	for _, m := range t.peers() {
+		if m.state == host.StateLive {
+			return min(m.identity.ID, t.self.ID)
+		}
+	}
+	return t.self.ID
+}
+
+// Candidates returns the hosts of the own domain that may become its leader, in
+// the order in which they try.
+func (t *Table) Candidates() []host.ID {
+	ids := []host.ID{}
+	if !t.leaving {
+		ids = append(ids, t.self.ID)
+	}
+	for _, m := range t.peers() {
+		if m.state == host.StateLive {
+			ids = append(ids, m.identity.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids[:min(len(ids), candidateCount)]
+}
+
+// Fresh reports whether the view is not stale after a pause of this process.
+func (t *Table) Fresh() bool { return !t.stale || len(t.peers()) == 0 }
