Run keyed non-idempotent requests at most once

Cause: a caller's retry may reach another host after the first one failed. Change: issued keys that name their keeper, own keys kept by domain leaders with quarantine, records with terms, the front door's step and the issue endpoint.

--- a/internal/entry/authenticate.go
+++ b/internal/entry/authenticate.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 
 	"peridotrail/internal/clientaccount"
@@ -48,13 +49,10 @@
 		x.refuse(w, malformed("the key may only be in the Authorization header"))
 		return
 	}
-	ctx, active := f.options.Active.Begin(r.Context(), x.digest, x.account)
+	ctx, active, p := f.register(r.Context(), x)
 	defer active.End()
-	// The key may have been withdrawn between the look-up and Begin.
-	x.policy = f.options.Policy()
-	owner, _, ok := x.policy.KeyOwner(x.digest)
-	if !ok || owner != x.account {
-		x.refuse(w, problem.New(problem.TypeKeyWithdrawn, problem.ExecutedNo, ""))
+	if p != nil {
+		x.refuse(w, p)
 		return
 	}
 	invariant.Check(x.account != "", invariant.KeyOwnsRequest, "request %s has no client account", x.id)
@@ -63,3 +61,15 @@
 	}
 	next.ServeHTTP(w, r.WithContext(ctx))
 }
+
+// register makes ctx end when the key is withdrawn. The key may have been
+// withdrawn since it was looked up, hence the second look-up.
+func (f *FrontDoor) register(ctx context.Context, x *exchange) (context.Context, *clientaccount.Request, *problem.Problem) {
+	ctx, active := f.options.Active.Begin(ctx, x.digest, x.account)
+	x.policy = f.options.Policy()
+	owner, _, ok := x.policy.KeyOwner(x.digest)
+	if !ok || owner != x.account {
+		return ctx, active, problem.New(problem.TypeKeyWithdrawn, problem.ExecutedNo, "")
+	}
+	return ctx, active, nil
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -29,7 +29,6 @@
 			x.refuseAndClose(w, p)
 			return
 		}
-		defer x.payload.Release()
 		f.attempts(w, r, x)
 	})
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -39,6 +39,8 @@
 	origin  string // ID of the host that relayed the request
 	grant   uint64
 
+	sendContext context.Context // ends an attempt; nil: the request's context
+
 	mayHaveRun bool // bytes of the request may have reached an upstream
 	cut        bool
 	target     string
@@ -80,6 +82,14 @@
 	x.refuse(w, p)
 }
 
+// contextFor returns the context under which attempts run.
+func (x *exchange) contextFor(r *http.Request) context.Context {
+	if x.sendContext != nil {
+		return x.sendContext
+	}
+	return r.Context()
+}
+
 func malformed(detail string) *problem.Problem {
 	return problem.New(problem.TypeMalformed, problem.ExecutedNo, detail)
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -50,7 +50,7 @@
 	outcome.BytesSent = max(0, request.ContentLength)
 	response, err := permit.Transport().RoundTrip(request)
 	if err != nil {
-		failure := transportFailure(r.Context(), err)
+		failure := transportFailure(x.contextFor(r), err)
 		x.note(failure.executed)
 		outcome.Result = failure.result
 		return failure
@@ -113,7 +113,7 @@
 	if request.ContentLength != 0 {
 		request.Body = x.payload.Reader()
 	}
-	return request.WithContext(r.Context())
+	return request.WithContext(x.contextFor(r))
 }
 
 func (x *exchange) leaksKey(header http.Header, query string) bool {
@@ -190,20 +190,21 @@
 // answer copies the response to the caller and returns the bytes of its body.
 // The outcome is set before the connection is aborted.
 func (f *FrontDoor) answer(w http.ResponseWriter, r *http.Request, x *exchange, request *http.Request, response *http.Response, outcome *upstream.Outcome) int64 {
+	ctx := x.contextFor(r)
 	controller := http.NewResponseController(w)
-	stop := context.AfterFunc(r.Context(), func() {
+	stop := context.AfterFunc(ctx, func() {
 		_ = controller.SetWriteDeadline(time.Unix(1, 0)) // frees a write to a slow caller; relayed streams end by themselves
 	})
 	writeHead(w, response, x)
 	copied, err := forward.CopyBody(w, response, request.Method != http.MethodHead)
 	if err == nil && !stop() {
-		err = context.Cause(r.Context())
+		err = context.Cause(ctx)
 	}
 	if err != nil {
 		x.cut = true
 		outcome.Result = upstream.ResultFailed
-		if r.Context().Err() != nil {
-			outcome.Result = endResult(r.Context())
+		if ctx.Err() != nil {
+			outcome.Result = endResult(ctx)
 		}
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/entry/front_door.go
+++ b/internal/entry/front_door.go
@@ -16,6 +16,7 @@
 
 	"peridotrail/internal/clientaccount"
 	"peridotrail/internal/host"
+	"peridotrail/internal/idempotency"
 	"peridotrail/internal/problem"
 )
 
@@ -26,10 +27,13 @@
 	Active     *clientaccount.Active
 	Admitter   Admitter
 	Dispatcher Dispatcher
-	API        http.Handler     // serves paths below /v1/; optional
-	Logger     log.Logger       // JSON lines; optional
-	AccessLog  bool             // log each request at debug level
-	Metrics    metrics.Registry // optional
+	// Idempotency asks the keepers of idempotency keys. Without it, requests
+	// with a key are refused.
+	Idempotency *idempotency.Client
+	API         http.Handler     // serves the other paths below /v1/; optional
+	Logger      log.Logger       // JSON lines; optional
+	AccessLog   bool             // log each request at debug level
+	Metrics     metrics.Registry // optional
 }
 
 // FrontDoor serves the requests of callers. It is safe for concurrent use.
@@ -54,7 +58,7 @@
 		metrics:  newFrontDoorMetrics(options.Metrics),
 		idPrefix: string(options.Self.ID) + "-" + strconv.FormatUint(uint64(options.Self.Incarnation), 36) + "-",
 	}
-	services := f.route(f.authenticate(f.limitTime(f.admit(f.dispatch()))))
+	services := f.route(f.authenticate(f.limitTime(f.runOnce(f.admit(f.dispatch())))))
 	f.handler = f.outer(sanitise(f.separateAPI(services)))
 	return f
 }
@@ -65,11 +69,15 @@
 // separateAPI sends paths below /v1/ to the API, all others to services.
 func (f *FrontDoor) separateAPI(services http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if name, _ := cutService(r.URL.Path); name == apiVersion && f.options.API != nil {
+		name, _ := cutService(r.URL.Path)
+		switch {
+		case r.URL.Path == IssuePath && f.options.Idempotency != nil:
+			f.issue(w, r)
+		case name == apiVersion && f.options.API != nil:
 			f.options.API.ServeHTTP(w, r)
-			return
+		default:
+			services.ServeHTTP(w, r)
 		}
-		services.ServeHTTP(w, r)
 	})
 }
 
@@ -102,6 +110,9 @@
 			reason = nil
 		}
 	}
+	if x.payload != nil {
+		x.payload.Release()
+	}
 	f.metrics.observe(x, time.Since(x.start))
 	if f.options.AccessLog {
 		f.logAccess(w, r, x)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -16,21 +16,23 @@
 )
 
 type frontDoorMetrics struct {
-	registry metrics.Registry
-	requests metrics.Counter
-	cut      metrics.Counter
-	panics   metrics.Counter
-	latency  metrics.Histogram // microseconds
+	registry    metrics.Registry
+	requests    metrics.Counter
+	cut         metrics.Counter
+	panics      metrics.Counter
+	unconfirmed metrics.Counter   // ends of attempts that a keeper did not confirm
+	latency     metrics.Histogram // microseconds
 }
 
 func newFrontDoorMetrics(registry metrics.Registry) *frontDoorMetrics {
 	sample := metrics.NewExpDecaySample(latencyReservoir, latencyAlpha)
 	return &frontDoorMetrics{
-		registry: registry,
-		requests: metrics.GetOrRegisterCounter("entry.requests", registry),
-		cut:      metrics.GetOrRegisterCounter("entry.answers.cut", registry),
-		panics:   metrics.GetOrRegisterCounter("entry.panics", registry),
-		latency:  metrics.GetOrRegisterHistogram("entry.latency.us", registry, sample),
+		registry:    registry,
+		requests:    metrics.GetOrRegisterCounter("entry.requests", registry),
+		cut:         metrics.GetOrRegisterCounter("entry.answers.cut", registry),
+		panics:      metrics.GetOrRegisterCounter("entry.panics", registry),
+		unconfirmed: metrics.GetOrRegisterCounter("entry.idempotency.unconfirmed", registry),
+		latency:     metrics.GetOrRegisterHistogram("entry.latency.us", registry, sample),
 	}
 }
 
--- /dev/null
+++ b/internal/idempotency/records_test.go
@@ -0,0 +1,89 @@
+package idempotency
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func beginOf(key string, sequence uint64) *Begin {
+	return &Begin{Account: "clinic", Key: key, Attempt: Attempt{Host: "h1", Sequence: sequence}, Term: time.Minute}
+}
+
+func finishOf(b *Begin, result Result, answer *Answer) *Finish {
+	return &Finish{Account: b.Account, Key: b.Key, Attempt: b.Attempt, Result: result, Answer: answer}
+}
+
+func TestRecordLifecycles(t *testing.T) {
+	answer := &Answer{Status: 201, Body: []byte("booked")}
+	for _, c := range []struct {
+		name  string
+		steps func(r *records, first *Begin)
+		after time.Duration
+		want  Verdict
+	}{
+		{"running", func(*records, *Begin) {}, 0, VerdictInProgress},
+		{"term over", func(*records, *Begin) {}, 2 * time.Minute, VerdictUnknown},
+		{"answered", func(r *records, b *Begin) { r.finish(start, finishOf(b, ResultAnswered, answer)) }, 0, VerdictReplay},
+		{"answered, not kept", func(r *records, b *Begin) { r.finish(start, finishOf(b, ResultAnswered, nil)) }, 0, VerdictUnknown},
+		{"unknown", func(r *records, b *Begin) { r.finish(start, finishOf(b, ResultUnknown, nil)) }, 0, VerdictUnknown},
+		{"not run", func(r *records, b *Begin) { r.finish(start, finishOf(b, ResultNotRun, nil)) }, 0, VerdictRun},
+		{"not run, told late", func(r *records, b *Begin) {
+			r.finish(start, finishOf(b, ResultUnknown, nil))
+			r.finish(start, finishOf(b, ResultNotRun, nil))
+		}, 0, VerdictRun},
+		{"not run, told twice around another attempt", func(r *records, b *Begin) {
+			r.finish(start, finishOf(b, ResultNotRun, nil))
+			r.begin(start, beginOf("k", 9), start.Add(time.Hour), true)
+			r.finish(start, finishOf(b, ResultNotRun, nil))
+		}, 0, VerdictInProgress},
+		{"answered, then a late not run", func(r *records, b *Begin) {
+			r.finish(start, finishOf(b, ResultAnswered, answer))
+			r.finish(start, finishOf(b, ResultNotRun, nil))
+		}, 0, VerdictReplay},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRecords(10, 1000)
+			first := beginOf("k", 1)
+			require.Equal(t, VerdictRun, r.begin(start, first, start.Add(time.Hour), true).Verdict)
+			c.steps(r, first)
+			got := r.begin(start.Add(c.after), beginOf("k", 2), start.Add(time.Hour), true)
+			require.Equal(t, c.want, got.Verdict)
+			if c.want == VerdictReplay {
+				require.Equal(t, answer, got.Answer)
+			}
+		})
+	}
+}
+
+func TestReusedKeyIsFound(t *testing.T) {
+	r := newRecords(10, 1000)
+	r.begin(start, beginOf("k", 1), start.Add(time.Hour), true)
+	other := beginOf("k", 2)
+	other.Fingerprint = Fingerprint{1}
+	require.Equal(t, VerdictReused, r.begin(start, other, start.Add(time.Hour), true).Verdict)
+}
+
+func TestRecordsAreBounded(t *testing.T) {
+	r := newRecords(2, 10)
+	for i, key := range []string{"a", "b"} {
+		b := beginOf(key, uint64(i))
+		require.Equal(t, VerdictRun, r.begin(start, b, start.Add(time.Minute), true).Verdict)
+		r.finish(start, finishOf(b, ResultAnswered, &Answer{Body: []byte("sixsix")}))
+	}
+	require.Equal(t, VerdictFull, r.begin(start, beginOf("c", 3), start.Add(time.Hour), true).Verdict)
+	require.Equal(t, VerdictUnknown, r.begin(start, beginOf("a", 4), start.Add(time.Hour), true).Verdict, "the oldest answer is dropped, its record is not")
+	require.Equal(t, VerdictReplay, r.begin(start, beginOf("b", 5), start.Add(time.Hour), true).Verdict)
+	require.LessOrEqual(t, r.bytes, 10)
+	require.Equal(t, VerdictRun, r.begin(start.Add(2*time.Minute), beginOf("c", 6), start.Add(time.Hour), true).Verdict, "expired records make room")
+	require.Zero(t, r.bytes)
+}
+
+func TestExpiredKeyNeverRuns(t *testing.T) {
+	now := start
+	k := NewKeeper(self, func() time.Time { return now })
+	key := k.Issue("clinic")
+	now = now.Add(KeyValidity)
+	require.Equal(t, VerdictUnknown, k.Begin(&Begin{Account: "clinic", Key: key, Term: time.Second}).Verdict)
+}
