Fix a data race in the test cluster of distribution

Cause: newCluster wrote the map of leaders without its lock while hosts ran. Change: newCluster sets leaders through lead, which holds the lock. Tested: go test -race -count 3 ./internal/distribution passes (15.3 s for three).

--- a/internal/distribution/cluster_test.go
+++ b/internal/distribution/cluster_test.go
@@ -77,7 +77,7 @@
 		for i := range perDomain {
 			id := host.ID(fmt.Sprintf("%s-%d", domain, i))
 			if i == 0 {
-				c.leaders[domain] = leader{id, 1}
+				c.lead(domain, id, 1)
 			}
 			c.start(id, domain, 1)
 		}
