--- a/internal/configuration/assemble.go
+++ b/internal/configuration/assemble.go
@@ -109,13 +109,8 @@
 	from := reflect.ValueOf(run).Elem()
 	into := reflect.ValueOf(c).Elem()
 	for i := range from.NumField() {
-		field := from.Field(i)
-		switch {
-		case !from.Type().Field(i).IsExported() || field.IsZero():
-		case field.Kind() == reflect.Slice:
-			into.Field(i).Set(reflect.AppendSlice(into.Field(i), field))
-		default:
-			into.Field(i).Set(field)
+		if from.Type().Field(i).IsExported() {
+			into.Field(i).Set(reflect.AppendSlice(into.Field(i), from.Field(i)))
 		}
 	}
 }
--- a/internal/configuration/chunk.go
+++ b/internal/configuration/chunk.go
@@ -144,12 +144,6 @@
 
 // encodeField encodes the field of Configuration with the given index.
 func encodeField(value reflect.Value, index int) ([]Chunk, error) {
-	if value.IsZero() {
-		return nil, nil
-	}
-	if value.Kind() != reflect.Slice {
-		return appendRun(nil, value, index)
-	}
 	var chunks []Chunk
 	start, size := 0, 0
 	for i := range value.Len() {
--- a/internal/configuration/difference.go
+++ b/internal/configuration/difference.go
@@ -81,10 +81,6 @@
 }
 
 func (d *Difference) compareField(collection string, before, after reflect.Value) {
-	if before.Kind() != reflect.Slice {
-		d.compareEntry(collection, "", rawJSON(before), rawJSON(after))
-		return
-	}
 	remaining := make(map[string]json.RawMessage, after.Len())
 	for i := range after.Len() {
 		remaining[entryName(after.Index(i).Interface())] = rawJSON(after.Index(i))
@@ -168,12 +164,9 @@
 	}
 }
 
-// rawJSON returns nil for a nil pointer. Valid configurations always have a
-// JSON form; the form of an invalid one is its error.
+// rawJSON returns the JSON form of an entry. Valid configurations always have
+// one; the form of an invalid entry is its error.
 func rawJSON(value reflect.Value) json.RawMessage {
-	if value.Kind() == reflect.Pointer && value.IsNil() {
-		return nil
-	}
 	data, err := json.Marshal(value.Interface())
 	if err != nil {
 		return json.RawMessage(err.Error())
--- a/internal/configuration/load.go
+++ b/internal/configuration/load.go
@@ -17,7 +17,7 @@
 //
 // Collections are appended. Entries with the same name are refused, wherever
 // they stand, except that an entry of withdrawnKeys overrides the grant of the
-// key. A setting that is not a collection may stand in one file only.
+// key.
 //
 // The error is an *InvalidError with all issues of all files.
 func LoadFolder(dir fs.FS) (*Configuration, error) {
@@ -110,10 +110,6 @@
 }
 
 func (m *merger) mergeField(d *decoder, name string, value *hujson.Value, into reflect.Value) {
-	if into.Kind() != reflect.Slice {
-		m.mergeSetting(d, name, value, into)
-		return
-	}
 	array, ok := value.Value.(*hujson.Array)
 	if !ok {
 		d.report(value.StartOffset, name, CodeType, "expected an array")
@@ -130,18 +126,6 @@
 	}
 }
 
-func (m *merger) mergeSetting(d *decoder, name string, value *hujson.Value, into reflect.Value) {
-	if !into.IsZero() {
-		d.report(value.StartOffset, name, CodeDuplicate, "%s is already set by an earlier file", name)
-		return
-	}
-	d.decode(value, into, name)
-	m.addOrigin(name, noIndex, value)
-}
-
-// noIndex is the index of a setting that is not an element of a collection.
-const noIndex = -1
-
 func (m *merger) addOrigin(name string, index int, value *hujson.Value) {
 	m.origins.elements[name] = append(m.origins.elements[name], origin{
 		file:  int32(len(m.origins.files) - 1),
--- a/internal/configuration/origin.go
+++ b/internal/configuration/origin.go
@@ -53,20 +53,18 @@
 	if o == nil || i >= len(o.elements[collection]) {
 		return "", 0, joinField(collection, i, sub)
 	}
-	at := o.elements[collection][max(i, 0)]
+	at := o.elements[collection][i]
 	source := o.files[at.file]
 	offset := at.start + fieldOffset(source.data[at.start:at.end], sub)
 	return source.name, source.line(offset), joinField(collection, int(at.index), sub)
 }
 
 func joinField(collection string, i int, sub string) string {
-	if i >= 0 {
-		collection = fmt.Sprintf("%s[%d]", collection, i)
-	}
+	element := fmt.Sprintf("%s[%d]", collection, i)
 	if sub == "" {
-		return collection
+		return element
 	}
-	return collection + "." + sub
+	return element + "." + sub
 }
 
 // fieldOffset returns the offset of the value at a path such as
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -22,8 +22,6 @@
 	maxDeadline       = time.Hour
 	maxInterval       = 24 * time.Hour
 	maxWindow         = 366 * 24 * time.Hour
-	minStaleAge       = 30 * time.Second
-	maxStaleAge       = 30 * 24 * time.Hour
 	maxEgress         = 1e15 // bytes per second
 )
 
@@ -46,7 +44,6 @@
 	v.failureDomains()
 	v.clientAccounts()
 	v.withdrawnKeys()
-	v.staleKeys()
 	v.services()
 	v.upstreams()
 	v.routes()
--- a/internal/configuration/validate_accounts.go
+++ b/internal/configuration/validate_accounts.go
@@ -70,19 +70,3 @@
 		seen[withdrawn] = true
 	}
 }
-
-func (v *validator) staleKeys() {
-	stale := v.c.StaleKeys
-	if stale == nil {
-		return
-	}
-	e := element{v, "staleKeys", noIndex}
-	switch stale.Policy {
-	case StaleKeyServe:
-		e.duration("age", stale.Age, 0, maxStaleAge)
-	case StaleKeyRefuse:
-		e.duration("age", stale.Age, minStaleAge, maxStaleAge)
-	default:
-		e.issue("policy", CodeFormat, "%q is neither %q nor %q", abbreviate(string(stale.Policy)), StaleKeyServe, StaleKeyRefuse)
-	}
-}
--- a/internal/distribution/cluster_test.go
+++ b/internal/distribution/cluster_test.go
@@ -104,6 +104,7 @@
 	n.Distributor = New(Config{
 		Self: identity, Store: c.store.Client(store.Caller{Host: string(id), FailureDomain: domain}),
 		Caller: joined, Registry: joined, View: n, Leadership: n, InForce: n.inForce,
+		StaleKeys: StaleKeys{Refuse: true, After: time.Minute},
 	})
 	ctx, cancel := context.WithCancel(c.t.Context())
 	done := make(chan struct{})
--- a/internal/distribution/contact.go
+++ b/internal/distribution/contact.go
@@ -4,7 +4,6 @@
 	"sync/atomic"
 	"time"
 
-	"peridotrail/internal/configuration"
 	"peridotrail/internal/host"
 )
 
@@ -51,10 +50,6 @@
 // have been withdrawn without this host's knowledge for longer than the
 // operators allow.
 func (d *Distributor) RefuseKeys(now time.Time) bool {
-	snapshot := d.config.InForce.Current()
-	if snapshot == nil || snapshot.StaleKeys == nil {
-		return false
-	}
-	stale := snapshot.StaleKeys
-	return stale.Policy == configuration.StaleKeyRefuse && d.ContactAge(now) > stale.Age.Std()
+	stale := d.config.StaleKeys
+	return stale.Refuse && d.ContactAge(now) > stale.After
 }
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -41,6 +41,7 @@
 	InForce    *configuration.InForce
 	Logger     log.Logger       // nil logs nothing
 	Metrics    metrics.Registry // nil counts in a private registry
+	StaleKeys  StaleKeys
 
 	WatchWait    time.Duration // length of one waiting watch
 	RereadPeriod time.Duration // time between reads that make up for lost watches
@@ -50,6 +51,13 @@
 	PushPeriod   time.Duration // time between rounds of the leader's push
 }
 
+// StaleKeys is the operators' choice for a failure domain that is cut off from
+// the store and from all other failure domains.
+type StaleKeys struct {
+	Refuse bool          // keyed requests are refused; served if false
+	After  time.Duration // without contact
+}
+
 // Defaults of Config.
 const (
 	DefaultWatchWait    = 8 * time.Second
--- a/internal/steering/lookup.go
+++ b/internal/steering/lookup.go
@@ -4,6 +4,7 @@
 package steering
 
 import (
+	"iter"
 	"net/netip"
 	"slices"
 
@@ -27,9 +28,15 @@
 
 // NewTable builds the table of the given client blocks.
 func NewTable(blocks []configuration.ClientBlock) *Table {
+	return NewTableOf(slices.Values(blocks))
+}
+
+// NewTableOf builds the table of client blocks that are not held as a slice,
+// such as those of configuration.Configuration.Blocks.
+func NewTableOf(blocks iter.Seq[configuration.ClientBlock]) *Table {
 	table := &Table{}
 	index := map[string]uint32{}
-	for _, block := range blocks {
+	for block := range blocks {
 		key := listKey(block.Domains)
 		position, known := index[key]
 		if !known {
