Add peridotrailctl

Cause: operators drive the fleet through a folder of files. Change: commands to check, compare and apply a folder, to wait for confirmations of every live host, to grant and withdraw keys, to drain and shift through managed files, and to ask hosts for status and look-ups; documented exit codes. grantedKeys lets a key stand in another file than its account. Tested: go test ./internal/ctl against the store stand-in: conflict with its difference, refused changes leave the folder as it was, keys are printed once, hosts that have not confirmed are named. Conclusion: usable against any platform.Store; status and look-up need the host's API.

--- a/cmd/peridotrailctl/main.go
+++ b/cmd/peridotrailctl/main.go
@@ -1,4 +1,33 @@
-// Command peridotrailctl is part of peridotrail.
+// Command peridotrailctl is the operators' tool: it checks and applies
+// configurations and shows the state of the fleet.
 package main
 
-func main() {}
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"peridotrail/internal/ctl"
+	"peridotrail/internal/platform"
+	"peridotrail/internal/platform/httpstore"
+)
+
+// pause is the time between looks of commands that wait.
+const pause = 200 * time.Millisecond
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := &ctl.App{
+		Stdout:    os.Stdout,
+		Stderr:    os.Stderr,
+		OpenStore: func(endpoints []string) platform.Store { return httpstore.New(endpoints) },
+		HTTP:      &http.Client{},
+		Now:       time.Now,
+		Pause:     pause,
+	}
+	os.Exit(app.Run(ctx, os.Args))
+}
--- a/internal/configuration/difference.go
+++ b/internal/configuration/difference.go
@@ -157,6 +157,8 @@
 		return e.Service + e.Prefix
 	case ClientBlock:
 		return e.Prefix.String()
+	case GrantedKey:
+		return e.Account + "/" + e.ID
 	case WithdrawnKey:
 		return e.Account + "/" + e.Key
 	default:
--- a/internal/configuration/load_test.go
+++ b/internal/configuration/load_test.go
@@ -27,6 +27,7 @@
 		"20-b.jsonc", `{"clientAccounts": [{"name": "second", "rate": 1, "burst": 1}]}`,
 		"10-a.json", `{"clientAccounts": [{"name": "first", "rate": 1, "burst": 1, "keys": [{"id": "k", "digest": "`+digestA+`"}]}]}`,
 		"15-w.jsonc", `{"withdrawnKeys": [{"account": "first", "key": "k"}]}`,
+		"16-g.jsonc", `{"grantedKeys": [{"account": "second", "id": "k", "digest": "`+digestB+`"}]}`,
 		".hidden.json", `not read`,
 		"notes.txt", `not read`,
 		"sub/30.json", `not read`,
@@ -40,6 +41,9 @@
 	_, _, ok := s.KeyOwner(digest)
 	require.False(t, ok, "a withdrawal overrides the grant")
 	require.True(t, s.KeyWithdrawn(digest))
+	digest, _ = parseKeyDigest(digestB)
+	account, id, ok := s.KeyOwner(digest)
+	require.Equal(t, []any{"second", "k", true}, []any{account, id, ok}, "a grant may stand in another file than the account")
 }
 
 func TestLoadFolderReportsEveryIssue(t *testing.T) {
@@ -74,12 +78,17 @@
 			{"name": "b", "rate": 1, "burst": 1, "keys": [
 				{"id": "k", "digest": "` + digestA + `"},
 				{"id": "m", "digest": "ABC"}]}],
+			"grantedKeys": [{"account": "a", "id": "k", "digest": "` + digestB + `"}, {"account": "z", "id": "n", "digest": ""}],
 			"withdrawnKeys": [{"account": "a", "key": "other"}, {"account": "z", "key": "k"}]}`, []Issue{
 			{Line: 2, Field: "clientAccounts[0].keys[1].id", Code: CodeDuplicate},
 			{Line: 4, Field: "clientAccounts[1].keys[0].digest", Code: CodeDuplicate},
 			{Line: 5, Field: "clientAccounts[1].keys[1].digest", Code: CodeFormat},
-			{Line: 6, Field: "withdrawnKeys[0].key", Code: CodeDangling},
-			{Line: 6, Field: "withdrawnKeys[1].account", Code: CodeDangling},
+			{Line: 6, Field: "grantedKeys[0].id", Code: CodeDuplicate},
+			{Line: 6, Field: "grantedKeys[0].digest", Code: CodeDuplicate},
+			{Line: 6, Field: "grantedKeys[1].account", Code: CodeDangling},
+			{Line: 6, Field: "grantedKeys[1].digest", Code: CodeFormat},
+			{Line: 7, Field: "withdrawnKeys[0].key", Code: CodeDangling},
+			{Line: 7, Field: "withdrawnKeys[1].account", Code: CodeDangling},
 		}},
 		{"dangling", `{"failureDomains": [{"name": "d", "region": "r"}],
 			"upstreams": [{"name": "u", "service": "s", "failureDomain": "x", "address": "10.0.0.1:80", "slots": 0, "connections": 0}],
--- a/internal/configuration/model.go
+++ b/internal/configuration/model.go
@@ -25,6 +25,7 @@
 	Drains        []Drain        `json:"drains,omitempty"`
 	Shifts        []Shift        `json:"shifts,omitempty"`
 	Objectives    []Objective    `json:"objectives,omitempty"`
+	GrantedKeys   []GrantedKey   `json:"grantedKeys,omitempty"`
 	WithdrawnKeys []WithdrawnKey `json:"withdrawnKeys,omitempty"`
 
 	packed []*packedRun // client blocks of an assembled configuration
@@ -61,6 +62,24 @@
 	Digest string `json:"digest"` // SHA-256 in lower-case hexadecimal
 }
 
+// GrantedKey grants a key to a client account that may stand in another file.
+type GrantedKey struct {
+	Account string `json:"account"`
+	ID      string `json:"id"`
+	Digest  string `json:"digest"` // SHA-256 in lower-case hexadecimal
+}
+
+// allKeys returns the keys of all accounts, from both places.
+func (c *Configuration) allKeys() []GrantedKey {
+	var keys []GrantedKey
+	for _, account := range c.ClientAccounts {
+		for _, key := range account.Keys {
+			keys = append(keys, GrantedKey{Account: account.Name, ID: key.ID, Digest: key.Digest})
+		}
+	}
+	return append(keys, c.GrantedKeys...)
+}
+
 // WithdrawnKey withdraws a key of a client account. It overrides the grant of
 // the key, whichever file of the folder comes first.
 type WithdrawnKey struct {
@@ -130,7 +149,7 @@
 	Name   string    `json:"name"`
 	Kind   DrainKind `json:"kind"`
 	Target string    `json:"target"`
-	Start  time.Time `json:"start,omitempty"` // at once if zero
+	Start  time.Time `json:"start,omitzero"` // at once if zero
 }
 
 // Shift moves callers from one failure domain to another in bounded steps.
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -84,17 +84,15 @@
 		withdrawn[key] = true
 	}
 	keys := map[KeyDigest]keyEntry{}
-	for _, account := range c.ClientAccounts {
-		for _, key := range account.Keys {
-			digest, ok := parseKeyDigest(key.Digest)
-			if !ok {
-				continue // validation refuses such keys
-			}
-			keys[digest] = keyEntry{
-				account:   account.Name,
-				id:        key.ID,
-				withdrawn: withdrawn[WithdrawnKey{Account: account.Name, Key: key.ID}],
-			}
+	for _, key := range c.allKeys() {
+		digest, ok := parseKeyDigest(key.Digest)
+		if !ok {
+			continue // validation refuses such keys
+		}
+		keys[digest] = keyEntry{
+			account:   key.Account,
+			id:        key.ID,
+			withdrawn: withdrawn[WithdrawnKey{Account: key.Account, Key: key.ID}],
 		}
 	}
 	return keys
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -43,6 +43,7 @@
 	v.regions()
 	v.failureDomains()
 	v.clientAccounts()
+	v.grantedKeys()
 	v.withdrawnKeys()
 	v.services()
 	v.upstreams()
@@ -65,6 +66,7 @@
 	accountNames  names
 	serviceNames  names
 	upstreamNames names
+	keys          keySet
 }
 
 // names is the set of names of one collection.
--- a/internal/configuration/validate_accounts.go
+++ b/internal/configuration/validate_accounts.go
@@ -2,59 +2,58 @@
 
 import "fmt"
 
-// digestSite is the first place where a digest stands.
-type digestSite struct {
-	account string
-	key     string
+// keySet holds the keys seen so far, by name and by digest.
+type keySet struct {
+	names   map[WithdrawnKey]bool
+	digests map[string]WithdrawnKey
 }
 
 func (v *validator) clientAccounts() {
 	v.accountNames = names{}
-	digests := map[string]digestSite{}
+	v.keys = keySet{names: map[WithdrawnKey]bool{}, digests: map[string]WithdrawnKey{}}
 	for i, account := range v.c.ClientAccounts {
 		e := element{v, "clientAccounts", i}
 		e.uniqueName(account.Name, v.accountNames)
 		e.positive("rate", account.Rate, maxRate)
 		within(e, "burst", account.Burst, 1, maxBurst)
 		within(e, "weight", account.Weight, 0, maxWeight)
-		e.keys(account, digests)
+		if len(account.Keys) > maxKeysOfAccount {
+			e.issue("keys", CodeTooLong, "%d keys; at most %d are allowed", len(account.Keys), maxKeysOfAccount)
+		}
+		for j, key := range account.Keys {
+			field := fmt.Sprintf("keys[%d].", j)
+			e.key(field, GrantedKey{Account: account.Name, ID: key.ID, Digest: key.Digest})
+		}
 	}
 }
 
-func (e element) keys(account ClientAccount, digests map[string]digestSite) {
-	if len(account.Keys) > maxKeysOfAccount {
-		e.issue("keys", CodeTooLong, "%d keys; at most %d are allowed", len(account.Keys), maxKeysOfAccount)
-	}
-	ids := names{}
-	for i, key := range account.Keys {
-		field := fmt.Sprintf("keys[%d]", i)
-		if e.name(field+".id", key.ID) && ids[key.ID] {
-			e.issue(field+".id", CodeDuplicate, "key %q is already defined", key.ID)
-		}
-		ids[key.ID] = true
-		e.digest(field+".digest", digestSite{account.Name, key.ID}, key.Digest, digests)
+func (v *validator) grantedKeys() {
+	for i, key := range v.c.GrantedKeys {
+		e := element{v, "grantedKeys", i}
+		e.reference("account", "client account", key.Account, v.accountNames)
+		e.key("", key)
 	}
 }
 
-func (e element) digest(field string, site digestSite, digest string, digests map[string]digestSite) {
-	if !digestPattern.MatchString(digest) {
-		e.issue(field, CodeFormat, "a digest has 64 lower-case hexadecimal digits")
+// key checks one granted key. Field is the path of the key in the element.
+func (e element) key(field string, key GrantedKey) {
+	name := WithdrawnKey{Account: key.Account, Key: key.ID}
+	if e.name(field+"id", key.ID) && e.v.keys.names[name] {
+		e.issue(field+"id", CodeDuplicate, "client account %q already has a key %q", key.Account, key.ID)
+	}
+	e.v.keys.names[name] = true
+	if !digestPattern.MatchString(key.Digest) {
+		e.issue(field+"digest", CodeFormat, "a digest has 64 lower-case hexadecimal digits")
 		return
 	}
-	if first, taken := digests[digest]; taken {
-		e.issue(field, CodeDuplicate, "the digest is already that of key %q of client account %q", first.key, first.account)
+	if first, taken := e.v.keys.digests[key.Digest]; taken {
+		e.issue(field+"digest", CodeDuplicate, "the digest is already that of key %q of client account %q", first.Key, first.Account)
 		return
 	}
-	digests[digest] = site
+	e.v.keys.digests[key.Digest] = name
 }
 
 func (v *validator) withdrawnKeys() {
-	granted := map[WithdrawnKey]bool{}
-	for _, account := range v.c.ClientAccounts {
-		for _, key := range account.Keys {
-			granted[WithdrawnKey{Account: account.Name, Key: key.ID}] = true
-		}
-	}
 	seen := map[WithdrawnKey]bool{}
 	for i, withdrawn := range v.c.WithdrawnKeys {
 		e := element{v, "withdrawnKeys", i}
@@ -62,7 +61,7 @@
 		switch {
 		case withdrawn.Key == "":
 			e.issue("key", CodeMissing, "the ID of a key is required")
-		case v.accountNames[withdrawn.Account] && !granted[withdrawn]:
+		case v.accountNames[withdrawn.Account] && !v.keys.names[withdrawn]:
 			e.issue("key", CodeDangling, "client account %q has no key %q", withdrawn.Account, abbreviate(withdrawn.Key))
 		case seen[withdrawn]:
 			e.issue("key", CodeDuplicate, "key %q is already withdrawn", withdrawn.Key)
