Add the allotment aggregates of hosts and domain leaders

Cause: rates, slots and connections are used by many hosts together. The model found three faults that are mended here: grant sequences that restarted when a holder came back, late answers after a lapse, and adopted shares that were dropped at once.

--- /dev/null
+++ b/internal/allotment/domain.go
@@ -0,0 +1,324 @@
+package allotment
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"peridotrail/internal/host"
+	"peridotrail/internal/invariant"
+)
+
+// Terms are the time limits of the shares that a domain leader grants.
+type Terms struct {
+	Term   time.Duration // a share ends this long after its renewal was sent
+	Margin time.Duration // added by the giver for differences between clocks
+	Hold   time.Duration // a silent holder's slots stay in use longer by the largest request deadline
+}
+
+// silence returns how long a holder must be silent before its share of r is surely over.
+func (t Terms) silence(r Resource) time.Duration {
+	if _, upstream := r.Upstream(); upstream {
+		return t.Term + t.Margin + t.Hold
+	}
+	return t.Term + t.Margin
+}
+
+// resize hysteresis of a host's share.
+const (
+	resizeFraction = 0.1  // of the present share
+	resizeMinimum  = 0.01 // of the whole
+)
+
+// DomainAllotment is the leader's division of its failure domain's resources
+// among the hosts of the domain, for one epoch of the leadership.
+//
+// The sum of the live shares of a resource never exceeds its whole, where a share
+// is live until its holder confirmed that it ended or its term is surely over.
+type DomainAllotment struct {
+	epoch    uint64
+	terms    Terms
+	start    time.Time
+	fresh    bool   // no leader gave out anything before
+	sequence uint64 // newest grant to any holder; a holder that returns sees no sequence twice
+	holders  map[holderKey]*holder
+	wholes   map[Resource]Share
+	adopted  map[Resource]Share // sum of the shares that former leaders granted
+	rules    rules
+}
+
+// NewDomainAllotment returns the aggregate of a leader that starts now. Fresh
+// says that no leader of the domain ever gave out a share; otherwise shares that
+// no host reports are given out only after the longest term.
+func NewDomainAllotment(now time.Time, epoch uint64, fresh bool, terms Terms) *DomainAllotment {
+	return &DomainAllotment{
+		epoch:   epoch,
+		terms:   terms,
+		start:   now,
+		fresh:   fresh,
+		holders: map[holderKey]*holder{},
+		wholes:  map[Resource]Share{},
+		adopted: map[Resource]Share{},
+	}
+}
+
+// Epoch returns the epoch of the leadership.
+func (d *DomainAllotment) Epoch() uint64 { return d.epoch }
+
+// Open reports whether all shares of former leaders of r are reported or over.
+func (d *DomainAllotment) Open(now time.Time, r Resource) bool {
+	if d.fresh || d.rules.openWithoutWait {
+		return true
+	}
+	return now.Sub(d.start) >= d.terms.silence(r)
+}
+
+// SetWhole changes what the domain may use of a resource. A smaller whole takes
+// effect at the next Divide, and is in effect once InEffect says so.
+func (d *DomainAllotment) SetWhole(r Resource, whole Share) {
+	if whole.IsZero() {
+		delete(d.wholes, r)
+		return
+	}
+	d.wholes[r] = whole
+}
+
+// Whole returns what the domain may use of a resource.
+func (d *DomainAllotment) Whole(r Resource) Share { return d.wholes[r] }
+
+// Resources returns all resources that have a whole or a live share, sorted.
+func (d *DomainAllotment) Resources() []Resource {
+	set := maps.Clone(d.wholes)
+	for _, h := range d.holders {
+		for r, e := range h.entries {
+			if !e.live().IsZero() {
+				set[r] = Share{}
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(set))
+}
+
+// InEffect reports whether the hosts surely use no more of a resource than limit.
+func (d *DomainAllotment) InEffect(now time.Time, r Resource, limit Share) bool {
+	return d.Open(now, r) && d.live(now, r).Within(limit)
+}
+
+// live returns the most that the known holders may be using.
+func (d *DomainAllotment) live(now time.Time, r Resource) Share {
+	var live Share
+	for _, h := range d.holders {
+		if e := h.entries[r]; e != nil && !d.over(now, h, r) {
+			live = live.Plus(e.live())
+		}
+	}
+	return live
+}
+
+// over reports whether the holder's share of r has surely ended.
+func (d *DomainAllotment) over(now time.Time, h *holder, r Resource) bool {
+	silent := now.Sub(h.seen)
+	if d.rules.reclaimWithoutWait {
+		return silent >= d.terms.Term/2
+	}
+	return silent >= d.terms.silence(r)
+}
+
+// Demand returns the demand that the hosts reported for a resource.
+func (d *DomainAllotment) Demand(now time.Time, r Resource) float64 {
+	total := 0.0
+	for _, h := range d.holders {
+		if e := h.entries[r]; e != nil && !h.leaving && now.Sub(h.seen) < d.terms.Term {
+			total += e.demand
+		}
+	}
+	return total
+}
+
+// Renew processes a host's request. Limit is the longest term that the answer may
+// give; the leader lowers it when its own right ends sooner.
+func (d *DomainAllotment) Renew(now time.Time, from host.Identity, request RenewRequest, limit time.Duration) RenewResponse {
+	answer := RenewResponse{Epoch: d.epoch, Request: request.Sequence}
+	key := holderKey{id: from.ID, incarnation: from.Incarnation}
+	h := d.holders[key]
+	if request.Epoch != d.epoch || h == nil && !request.Full {
+		answer.Resync = true
+		return answer
+	}
+	if h == nil {
+		h = d.admit(now, key, request)
+	}
+	d.lapse(now, h)
+	h.seen = now
+	if request.Sequence > h.request {
+		h.process(request)
+	}
+	answer.Sequence = h.sequence
+	answer.Term = max(min(d.terms.Term, limit), 0)
+	answer.Reset = request.Full
+	answer.Grants = h.changes(request.Applied, request.Full)
+	slices.SortFunc(answer.Grants, func(a, b Grant) int { return cmp.Compare(a.Resource, b.Resource) })
+	return answer
+}
+
+// admit adds a process that this leader does not know. While shares of former
+// leaders may be live, it keeps the ones that it reports; later they are over.
+func (d *DomainAllotment) admit(now time.Time, key holderKey, request RenewRequest) *holder {
+	d.sequence++
+	h := newHolder(d.sequence)
+	h.seen = now
+	d.holders[key] = h
+	for _, report := range request.Reports {
+		if report.Share.IsZero() || d.Open(now, report.Resource) && !d.rules.openWithoutWait {
+			continue
+		}
+		e := h.entry(report.Resource)
+		e.confirmed = report.Share
+		e.sequence = h.sequence
+		d.adopted[report.Resource] = d.adopted[report.Resource].Plus(report.Share)
+	}
+	return h
+}
+
+// lapse takes the shares back that ended while the holder was silent. They may
+// have been given to others.
+func (d *DomainAllotment) lapse(now time.Time, h *holder) {
+	for _, r := range slices.Sorted(maps.Keys(h.entries)) {
+		if d.over(now, h, r) {
+			h.entries[r].held = Share{}
+			d.grant(h, r, Share{}, true)
+		}
+	}
+}
+
+// grant gives a holder a new share. Trusted grants count as confirmed.
+func (d *DomainAllotment) grant(h *holder, r Resource, share Share, trusted bool) {
+	d.sequence++
+	h.grant(d.sequence, r, share, trusted)
+}
+
+// available returns what is free of a resource.
+func (d *DomainAllotment) available(now time.Time, r Resource) Share {
+	limit := d.wholes[r]
+	if !d.Open(now, r) {
+		limit = limit.Min(d.adopted[r])
+	}
+	return limit.Minus(d.live(now, r))
+}
+
+// Divide adapts the shares to the demand: it first reduces the shares that are
+// too large, then gives out what is free. It forgets holders whose shares are over.
+func (d *DomainAllotment) Divide(now time.Time) {
+	d.forget(now)
+	keys := d.activeHolders(now)
+	for _, r := range d.Resources() {
+		d.divide(now, r, keys)
+	}
+}
+
+func (d *DomainAllotment) forget(now time.Time) {
+	for key, h := range d.holders {
+		if d.expired(now, h) {
+			delete(d.holders, key)
+		}
+	}
+}
+
+func (d *DomainAllotment) expired(now time.Time, h *holder) bool {
+	if now.Sub(h.seen) < d.terms.Term+d.terms.Margin {
+		return d.rules.reclaimWithoutWait && now.Sub(h.seen) >= d.terms.Term/2
+	}
+	for r, e := range h.entries {
+		if !e.live().IsZero() && !d.over(now, h, r) {
+			return false
+		}
+	}
+	return true
+}
+
+// activeHolders returns the holders that take part in a division, sorted.
+func (d *DomainAllotment) activeHolders(now time.Time) []holderKey {
+	var keys []holderKey
+	for key, h := range d.holders {
+		if !h.leaving && now.Sub(h.seen) < d.terms.Term/2 {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b holderKey) int {
+		return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.incarnation, b.incarnation))
+	})
+	return keys
+}
+
+func (d *DomainAllotment) divide(now time.Time, r Resource, keys []holderKey) {
+	claims := make([]claim, len(keys))
+	for i, key := range keys {
+		if e := d.holders[key].entries[r]; e != nil {
+			claims[i] = claim{demand: e.demand, current: e.granted()}
+		}
+	}
+	targets := d.targets(r, claims)
+	d.shrink(r, keys, claims, targets)
+	before := d.live(now, r)
+	d.grow(now, r, keys, claims, targets)
+	after := d.live(now, r)
+	d.check(r, before, after)
+}
+
+// check asserts that a division gave out no more than the whole.
+func (d *DomainAllotment) check(r Resource, before, after Share) {
+	name := invariant.RateWithinWhole
+	if _, upstream := r.Upstream(); upstream {
+		name = invariant.SlotsWithinWhole
+	}
+	limit := d.wholes[r].Max(before)
+	invariant.Check(after.Within(limit), name, "%s: live shares %+v exceed %+v", r, after, limit)
+}
+
+// targets returns the wanted share of each claim.
+func (d *DomainAllotment) targets(r Resource, claims []claim) []Share {
+	if _, upstream := r.Upstream(); upstream {
+		return divideSlots(d.wholes[r], claims)
+	}
+	return divideRate(d.wholes[r], claims, minHostBurst)
+}
+
+// shrink reduces the shares that are above their target.
+func (d *DomainAllotment) shrink(r Resource, keys []holderKey, claims []claim, targets []Share) {
+	var sum Share
+	for _, c := range claims {
+		sum = sum.Plus(c.current)
+	}
+	tooMuch := !sum.Within(d.wholes[r])
+	for i, key := range keys {
+		lower := claims[i].current.Min(targets[i])
+		if lower == claims[i].current || !tooMuch && d.settled(r, claims[i].current, lower) {
+			continue
+		}
+		d.grant(d.holders[key], r, lower, d.rules.growBeforeConfirm)
+		claims[i].current = lower
+	}
+}
+
+// settled reports whether a change is too small to be worth a message.
+func (d *DomainAllotment) settled(r Resource, current, target Share) bool {
+	whole := d.wholes[r]
+	if current.IsZero() != target.IsZero() {
+		return false
+	}
+	return current.near(target, current, resizeFraction) || current.near(target, whole, resizeMinimum)
+}
+
+// grow gives out what is free to the shares that are below their target.
+func (d *DomainAllotment) grow(now time.Time, r Resource, keys []holderKey, claims []claim, targets []Share) {
+	free := d.available(now, r)
+	for i, key := range keys {
+		missing := targets[i].Minus(claims[i].current).Min(free)
+		if missing.IsZero() || d.settled(r, claims[i].current.Plus(missing), claims[i].current) {
+			continue
+		}
+		d.grant(d.holders[key], r, claims[i].current.Plus(missing), false)
+		free = free.Minus(missing)
+	}
+}
--- /dev/null
+++ b/internal/allotment/share.go
@@ -0,0 +1,93 @@
+// Package allotment divides the rates and capacities that many hosts use
+// together, such that the sum of the live shares never exceeds the whole.
+//
+// All types are pure state machines: time is passed in, nothing blocks and
+// nothing is sent. They are not safe for concurrent use.
+package allotment
+
+import (
+	"math"
+	"strings"
+)
+
+// Resource names one thing that is divided.
+type Resource string
+
+const (
+	accountPrefix  = "account/"
+	upstreamPrefix = "upstream/"
+)
+
+// AccountResource returns the resource of a client account's rate and burst.
+func AccountResource(account string) Resource { return Resource(accountPrefix + account) }
+
+// UpstreamResource returns the resource of an upstream's slots and connections.
+func UpstreamResource(upstream string) Resource { return Resource(upstreamPrefix + upstream) }
+
+// Account returns the client account, or false if the resource is no account's.
+func (r Resource) Account() (string, bool) { return strings.CutPrefix(string(r), accountPrefix) }
+
+// Upstream returns the upstream, or false if the resource is no upstream's.
+func (r Resource) Upstream() (string, bool) { return strings.CutPrefix(string(r), upstreamPrefix) }
+
+// Share is an amount of one resource. A client account uses Rate and Burst, an
+// upstream uses Slots and Connections.
+type Share struct {
+	Rate        float64 `cbor:"1,keyasint,omitempty" json:"rate,omitempty"`  // requests per second
+	Burst       float64 `cbor:"2,keyasint,omitempty" json:"burst,omitempty"` // requests
+	Slots       int     `cbor:"3,keyasint,omitempty" json:"slots,omitempty"`
+	Connections int     `cbor:"4,keyasint,omitempty" json:"connections,omitempty"`
+}
+
+// tolerance absorbs rounding of floating-point sums, as a fraction.
+const tolerance = 1e-9
+
+// IsZero reports whether the share is empty.
+func (s Share) IsZero() bool { return s == Share{} }
+
+// Plus returns the sum of both shares.
+func (s Share) Plus(o Share) Share {
+	return Share{s.Rate + o.Rate, s.Burst + o.Burst, s.Slots + o.Slots, s.Connections + o.Connections}
+}
+
+// Minus returns the difference, no component below zero.
+func (s Share) Minus(o Share) Share {
+	return Share{
+		Rate:        max(s.Rate-o.Rate, 0),
+		Burst:       max(s.Burst-o.Burst, 0),
+		Slots:       max(s.Slots-o.Slots, 0),
+		Connections: max(s.Connections-o.Connections, 0),
+	}
+}
+
+// Max returns the larger value of each component.
+func (s Share) Max(o Share) Share {
+	return Share{max(s.Rate, o.Rate), max(s.Burst, o.Burst), max(s.Slots, o.Slots), max(s.Connections, o.Connections)}
+}
+
+// Min returns the smaller value of each component.
+func (s Share) Min(o Share) Share {
+	return Share{min(s.Rate, o.Rate), min(s.Burst, o.Burst), min(s.Slots, o.Slots), min(s.Connections, o.Connections)}
+}
+
+// Scale returns the share multiplied by f. Integer components round down.
+func (s Share) Scale(f float64) Share {
+	return Share{s.Rate * f, s.Burst * f, int(float64(s.Slots) * f), int(float64(s.Connections) * f)}
+}
+
+// Within reports whether no component exceeds the one of whole, apart from rounding.
+func (s Share) Within(whole Share) bool {
+	return within(s.Rate, whole.Rate) && within(s.Burst, whole.Burst) &&
+		s.Slots <= whole.Slots && s.Connections <= whole.Connections
+}
+
+func within(part, whole float64) bool {
+	return part <= whole+tolerance*math.Max(1, math.Abs(whole))
+}
+
+// near reports whether both shares differ by no more than fraction of scale.
+func (s Share) near(o, scale Share, fraction float64) bool {
+	return math.Abs(s.Rate-o.Rate) <= fraction*scale.Rate &&
+		math.Abs(s.Burst-o.Burst) <= fraction*scale.Burst &&
+		s.Slots == o.Slots && s.Connections == o.Connections
+}
