Dispatch: queues, fairness, health, room grants, probes

Cause: the dispatcher chose among local upstreams only and refused when all slots were in use. Change: a pool aggregate for each service with start-time fair queueing over client accounts, bounded alert priority, deadline checks, outlier ejection with half-open probing and slow start, aged load reports, retry and egress budgets, drains, and room grants between hosts (internal/upstream/room). Conclusion: all of the policy stands on one host and two in process; not yet measured over the whole path.

--- /dev/null
+++ b/internal/upstream/lane.go
@@ -0,0 +1,169 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"peridotrail/internal/host"
+	"peridotrail/internal/invariant"
+	"peridotrail/internal/upstream/room"
+)
+
+// lane is the concurrent shell around the pool of one service. No I/O happens
+// while mu is held.
+type lane struct {
+	dispatcher *Dispatcher
+	mu         sync.Mutex // guards pool and asker
+	pool       *pool
+	asker      *asker
+}
+
+// acquire runs the decision of the pool and waits for its result.
+func (l *lane) acquire(ctx context.Context, work Work) (*Permit, error) {
+	now := l.dispatcher.now()
+	l.mu.Lock()
+	if !work.Relayed && len(work.Excluded) == 0 {
+		l.pool.retries.attempt()
+	}
+	place, refused := l.pool.submitNow(work, now)
+	l.mu.Unlock()
+	if place != nil || refused != nil {
+		return l.settle(place, refused, now)
+	}
+	reach := l.dispatcher.reach(l.pool.service)
+	l.mu.Lock()
+	place, waiting, refused := l.pool.submit(work, reach, now)
+	assigned := l.pool.pump(now)
+	l.mu.Unlock()
+	l.hand(assigned, now)
+	if waiting == nil {
+		return l.settle(place, refused, now)
+	}
+	l.dispatcher.askSoon()
+	return l.wait(ctx, waiting)
+}
+
+// settle turns a decision that needed no wait into the result of acquire.
+func (l *lane) settle(place *placement, refused *RefusedError, now time.Time) (*Permit, error) {
+	if refused != nil {
+		l.dispatcher.stats.refused(refused.Reason)
+		return nil, refused
+	}
+	return l.permit(place, now), nil
+}
+
+// wait blocks until the waiter is decided, its caller goes away, or it is too late.
+func (l *lane) wait(ctx context.Context, w *waiter) (*Permit, error) {
+	timer := time.NewTimer(w.latestStart.Sub(l.dispatcher.now()))
+	defer timer.Stop()
+	select {
+	case d := <-w.decided:
+		return l.result(w, d)
+	case <-ctx.Done():
+		return l.abandon(w, &RefusedError{Reason: ReasonWithdrawn, Service: l.pool.service, Err: context.Cause(ctx)})
+	case <-timer.C:
+		return l.abandon(w, nil)
+	}
+}
+
+// abandon takes the waiter out of the queue. A waiter that got its permit in the
+// meantime keeps it, unless its caller went away.
+func (l *lane) abandon(w *waiter, cause *RefusedError) (*Permit, error) {
+	now := l.dispatcher.now()
+	l.mu.Lock()
+	removed := l.pool.queue.remove(w)
+	if removed && cause == nil {
+		cause = l.pool.refuse(ReasonDeadlineTooShort, &w.work, now)
+	}
+	l.mu.Unlock()
+	if removed {
+		l.dispatcher.stats.refused(cause.Reason)
+		return nil, cause
+	}
+	d := <-w.decided
+	if cause == nil || d.permit == nil {
+		return l.result(w, d)
+	}
+	d.permit.Done(Outcome{Result: ResultCancelled})
+	l.dispatcher.stats.refused(cause.Reason)
+	return nil, cause
+}
+
+func (l *lane) result(w *waiter, d decision) (*Permit, error) {
+	l.dispatcher.stats.waited(l.dispatcher.now().Sub(w.enqueued))
+	if d.err != nil {
+		l.dispatcher.stats.refused(d.err.Reason)
+		return nil, d.err
+	}
+	return d.permit, nil
+}
+
+// hand gives permits to waiters that the pool assigned.
+func (l *lane) hand(assigned []assignment, now time.Time) {
+	for _, a := range assigned {
+		a.waiter.decided <- decision{permit: l.permit(a.place, now)}
+	}
+}
+
+func (l *lane) permit(place *placement, now time.Time) *Permit {
+	if place.holding != nil {
+		peer := place.holding.Peer
+		l.dispatcher.stats.relayed.Inc(1)
+		target := Target{Address: peer.Fleet, Peer: peer, IsPeer: true, Grant: place.holding.Grant}
+		return &Permit{target: target, transport: l.dispatcher.options.Transports.Peer(peer), place: place, lane: l}
+	}
+	u := place.worker.upstream
+	invariant.Check(!l.dispatcher.leftLongAgo(u.Name, now), invariant.LeavingUpstreamQuiet,
+		"upstream %s got work after its drain", u.Name)
+	l.dispatcher.stats.local.Inc(1)
+	target := Target{Upstream: u.Name, Address: u.Address}
+	return &Permit{target: target, transport: place.worker.transport, place: place, lane: l}
+}
+
+func (l *lane) finish(place *placement, outcome Outcome) {
+	now := l.dispatcher.now()
+	l.mu.Lock()
+	l.pool.finish(place, outcome, now)
+	assigned := l.pool.pump(now)
+	l.mu.Unlock()
+	l.hand(assigned, now)
+}
+
+// sweep refuses late waiters and uses capacity that appeared without an event.
+func (l *lane) sweep(now time.Time) {
+	l.mu.Lock()
+	limit, _ := l.pool.slots(now)
+	l.pool.queue.setSlots(limit)
+	assigned := l.pool.pump(now)
+	l.mu.Unlock()
+	l.hand(assigned, now)
+}
+
+// lend answers a request for room.
+func (l *lane) lend(from host.ID, request room.Request, now time.Time) room.Reply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pool.lender.Lend(from, request, l.pool.lendable(now), now)
+}
+
+// planAsks returns the requests for room to send now.
+func (l *lane) planAsks(found []candidate, now time.Time) []ask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wanted := l.pool.wanted()
+	if wanted == 0 {
+		return nil
+	}
+	return l.asker.plan(l.pool, found, wanted, now)
+}
+
+// answered takes over the reply to an ask; a zero reply stands for a failure.
+func (l *lane) answered(a ask, reply room.Reply, asked, now time.Time) {
+	l.mu.Lock()
+	l.asker.answered(a.peer.ID, reply.Slots, now)
+	l.pool.holder.Add(a.peer, a.distance, reply, asked, now)
+	assigned := l.pool.pump(now)
+	l.mu.Unlock()
+	l.hand(assigned, now)
+}
--- /dev/null
+++ b/internal/upstream/peers.go
@@ -0,0 +1,176 @@
+package upstream
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"peridotrail/internal/host"
+	"peridotrail/internal/upstream/room"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Distances between entry hosts.
+const (
+	distanceSameDomain  = 0
+	distanceSameRegion  = 1
+	distanceOtherRegion = 2
+)
+
+// Settings of requests for room.
+const (
+	askParallel     = 3                      // peers asked at the same time for one service
+	askTimeout      = room.Term              // of one request
+	askPause        = 200 * time.Millisecond // after a peer had no room
+	askRenewBefore  = room.Term / 2          // time before its end at which a grant is renewed
+	roundTripDomain = 2 * time.Millisecond
+	roundTripRegion = 2 * time.Millisecond
+	roundTripOther  = 30 * time.Millisecond
+)
+
+// Peer is another entry host as this host knows it from heartbeats.
+type Peer struct {
+	Identity host.Identity
+	State    host.State
+	// FreeSlots is the number of slots per service that the peer last announced
+	// as lendable. A missing service has none.
+	FreeSlots map[string]int
+}
+
+// candidate is a peer that may have room for a service.
+type candidate struct {
+	identity host.Identity
+	distance int
+	free     int
+	rank     float64
+}
+
+// defaultRoundTrip is used until a request to the peer was measured.
+func (c *candidate) defaultRoundTrip() time.Duration {
+	switch c.distance {
+	case distanceSameDomain:
+		return roundTripDomain
+	case distanceSameRegion:
+		return roundTripRegion
+	default:
+		return roundTripOther
+	}
+}
+
+// distanceTo returns the distance between two hosts.
+func distanceTo(self, other host.Identity) int {
+	switch {
+	case self.FailureDomain == other.FailureDomain:
+		return distanceSameDomain
+	case self.Region == other.Region:
+		return distanceSameRegion
+	default:
+		return distanceOtherRegion
+	}
+}
+
+// candidates returns the live peers that announced free slots of service,
+// nearest first. Among peers at the same distance the order depends on their
+// free slots and differs between hosts, so that hosts do not all ask the same.
+// draining reports whether a peer may get no new work.
+func candidates(self host.Identity, peers []Peer, service string, draining func(host.Identity) bool) []candidate {
+	var found []candidate
+	for _, peer := range peers {
+		free := peer.FreeSlots[service]
+		if free <= 0 || peer.State != host.StateLive || draining(peer.Identity) {
+			continue
+		}
+		found = append(found, candidate{
+			identity: peer.Identity,
+			distance: distanceTo(self, peer.Identity),
+			free:     free,
+			rank:     float64(free) * (0.5 + spread(string(self.ID), string(peer.Identity.ID), service)),
+		})
+	}
+	slices.SortFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.rank, a.rank),
+			cmp.Compare(a.identity.ID, b.identity.ID))
+	})
+	return found
+}
+
+// spread hashes its arguments to a number between 0 and 1.
+func spread(parts ...string) float64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range parts {
+		_, _ = digest.WriteString(part) // never fails
+		_, _ = digest.Write([]byte{0})
+	}
+	return float64(digest.Sum64()>>11) / (1 << 53)
+}
+
+// ask is one request for room to send.
+type ask struct {
+	peer     host.Identity
+	distance int
+	request  room.Request
+}
+
+// asker is the aggregate that decides which peers to ask for room for one
+// service. Its owner holds the lock of the pool.
+type asker struct {
+	pending map[host.ID]bool
+	pause   map[host.ID]time.Time // no request before this time
+}
+
+func newAsker() *asker {
+	return &asker{pending: map[host.ID]bool{}, pause: map[host.ID]time.Time{}}
+}
+
+// plan returns the requests to send now for wanted concurrent relays.
+func (a *asker) plan(p *pool, found []candidate, wanted int, now time.Time) []ask {
+	var asks []ask
+	for _, c := range found {
+		if wanted <= 0 || len(a.pending) >= askParallel {
+			break
+		}
+		if a.pending[c.identity.ID] || now.Before(a.pause[c.identity.ID]) {
+			continue
+		}
+		if !p.worthAsking(&c, now) {
+			continue
+		}
+		grant, expires := p.holder.Current(c.identity.ID, now)
+		if grant != 0 && expires.Sub(now) > askRenewBefore {
+			wanted -= p.holder.SlotsOf(grant)
+			continue
+		}
+		slots := min(wanted, c.free+p.holder.SlotsOf(grant))
+		wanted -= slots
+		a.pending[c.identity.ID] = true
+		request := room.Request{Service: p.service, Slots: slots, Renew: grant}
+		asks = append(asks, ask{peer: c.identity, distance: c.distance, request: request})
+	}
+	return asks
+}
+
+// worthAsking reports whether waiters would still be waiting when the peer's
+// answer arrives, and whether bytes may be sent to it.
+func (p *pool) worthAsking(c *candidate, now time.Time) bool {
+	if c.distance >= distanceOtherRegion && !p.egress.open(now) {
+		return false
+	}
+	waiting := p.localWait(float64(p.queue.len()), now)
+	return p.holder.InUse() > 0 || waiting >= c.defaultRoundTrip()
+}
+
+// answered takes over the end of a request.
+func (a *asker) answered(peer host.ID, granted int, now time.Time) {
+	delete(a.pending, peer)
+	delete(a.pause, peer)
+	if granted == 0 {
+		a.pause[peer] = now.Add(askPause)
+	}
+}
+
+// wanted returns how many concurrent relays the pool could use.
+func (p *pool) wanted() int {
+	return min(p.queue.len(), p.queue.limit) + p.holder.InUse()
+}
--- /dev/null
+++ b/internal/upstream/stats.go
@@ -0,0 +1,53 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// waitReservoir is the number of samples of the histogram of queueing times.
+const waitReservoir = 1028
+
+// stats are the metrics of dispatch.
+type stats struct {
+	local, relayed          metrics.Counter
+	roomAsked, roomFailed   metrics.Counter
+	roomSlots, roomLent     metrics.Counter
+	retries, retriesRefused metrics.Counter
+	refusals                [ReasonShuttingDown + 1]metrics.Counter
+	reportsLost             metrics.Counter
+	wait                    metrics.Histogram // microseconds
+}
+
+func newStats(registry metrics.Registry) *stats {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("dispatch."+name, registry) }
+	s := &stats{
+		local: counter("local"), relayed: counter("relayed"),
+		roomAsked: counter("room.asked"), roomFailed: counter("room.failed"),
+		roomSlots: counter("room.slots"), roomLent: counter("room.lent"),
+		reportsLost: counter("reports.lost"),
+		retries:     counter("retries"), retriesRefused: counter("retries.refused"),
+		wait: metrics.GetOrRegisterHistogram("dispatch.wait", registry, metrics.NewExpDecaySample(waitReservoir, 0.015)),
+	}
+	names := map[Reason]string{
+		ReasonNoUpstream: "no-upstream", ReasonOverloaded: "overloaded", ReasonDeadlineTooShort: "deadline-too-short",
+		ReasonWithdrawn: "withdrawn", ReasonNoGrant: "no-grant", ReasonShuttingDown: "shutting-down",
+	}
+	for reason, name := range names {
+		s.refusals[reason] = counter("refused." + name)
+	}
+	return s
+}
+
+func (s *stats) refused(reason Reason) { s.refusals[reason].Inc(1) }
+
+func (s *stats) waited(d time.Duration) { s.wait.Update(d.Microseconds()) }
+
+func (s *stats) retry(allowed bool) {
+	if allowed {
+		s.retries.Inc(1)
+		return
+	}
+	s.retriesRefused.Inc(1)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,6 +27,8 @@
 	Origin     string    // ID of the host that relayed the request
 	Grant      uint64    // room grant under which the request was relayed
 	Excluded   []string  // upstreams and hosts that failed this request before
+
+	crossRegion bool // the origin is in another region
 }
 
 // Target is the place where a request is sent.
@@ -61,10 +63,10 @@
 
 // Outcome reports how a request ended.
 type Outcome struct {
-	Result       Result
-	Latency      time.Duration // from the first byte sent to the last byte received
-	BytesSent    int64
-	BytesReceive int64
+	Result        Result
+	Latency       time.Duration // from the first byte sent to the last byte received
+	BytesSent     int64         // of the request
+	BytesReceived int64         // of the response
 }
 
 // CapacityShare gives this host's current share of each upstream.
