--- a/internal/configuration/model.go
+++ b/internal/configuration/model.go
@@ -19,10 +19,15 @@
 	Services       []Service       `json:"services,omitempty"`
 	Upstreams      []Upstream      `json:"upstreams,omitempty"`
 	Routes         []Route         `json:"routes,omitempty"`
-	ClientBlocks   []ClientBlock   `json:"clientBlocks,omitempty"`
-	Drains         []Drain         `json:"drains,omitempty"`
-	Shifts         []Shift         `json:"shifts,omitempty"`
-	Objectives     []Objective     `json:"objectives,omitempty"`
+	// ClientBlocks is set in a configuration that was read from a folder. On a
+	// host the blocks are packed; read them with Blocks.
+	ClientBlocks  []ClientBlock  `json:"clientBlocks,omitempty"`
+	Drains        []Drain        `json:"drains,omitempty"`
+	Shifts        []Shift        `json:"shifts,omitempty"`
+	Objectives    []Objective    `json:"objectives,omitempty"`
+	WithdrawnKeys []WithdrawnKey `json:"withdrawnKeys,omitempty"`
+
+	packed []*packedRun // client blocks of an assembled configuration
 }
 
 // Region is a group of failure domains that are close to each other.
@@ -56,6 +61,13 @@
 	Digest string `json:"digest"` // SHA-256 in lower-case hexadecimal
 }
 
+// WithdrawnKey withdraws a key of a client account. It overrides the grant of
+// the key, whichever file of the folder comes first.
+type WithdrawnKey struct {
+	Account string `json:"account"`
+	Key     string `json:"key"` // ID of the key
+}
+
 // Service is a named application that upstreams serve.
 type Service struct {
 	Name               string   `json:"name"`
