--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -62,7 +62,7 @@
 		return failure
 	}
 	x.mayHaveRun = true
-	outcome.BytesReceive = f.answer(w, r, x, request, response, &outcome)
+	outcome.BytesReceived = f.answer(w, r, x, request, response, &outcome)
 	return nil
 }
 
