--- a/internal/configuration/difference.go
+++ b/internal/configuration/difference.go
@@ -81,10 +81,6 @@
 }
 
 func (d *Difference) compareField(collection string, before, after reflect.Value) {
-	if before.Kind() != reflect.Slice {
-		d.compareEntry(collection, "", rawJSON(before), rawJSON(after))
-		return
-	}
 	remaining := make(map[string]json.RawMessage, after.Len())
 	for i := range after.Len() {
 		remaining[entryName(after.Index(i).Interface())] = rawJSON(after.Index(i))
@@ -161,6 +157,8 @@
 		return e.Service + e.Prefix
 	case ClientBlock:
 		return e.Prefix.String()
+	case GrantedKey:
+		return e.Account + "/" + e.ID
 	case WithdrawnKey:
 		return e.Account + "/" + e.Key
 	default:
@@ -168,12 +166,9 @@
 	}
 }
 
-// rawJSON returns nil for a nil pointer. Valid configurations always have a
-// JSON form; the form of an invalid one is its error.
+// rawJSON returns the JSON form of an entry. Valid configurations always have
+// one; the form of an invalid entry is its error.
 func rawJSON(value reflect.Value) json.RawMessage {
-	if value.Kind() == reflect.Pointer && value.IsNil() {
-		return nil
-	}
 	data, err := json.Marshal(value.Interface())
 	if err != nil {
 		return json.RawMessage(err.Error())
