Relay requests between front doors and pass on refusals truthfully

Cause: a peer's refusal lost its 'executed' header and its answers have no chunked framing. Change: refusals of a peer's front door are taken apart and refused again with what this host knows; relay errors say whether the request ran; a local keeper is told before the answer leaves. Conclusion: 'executed: no' stays true over a relay.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -148,6 +148,11 @@
 	if p := endProblem(ctx, x.executed()); p != nil {
 		return p
 	}
+	if failure.refusal != nil {
+		p := *failure.refusal
+		p.Executed = x.executed()
+		return &p
+	}
 	if failure.result == upstream.ResultShed {
 		return problem.New(problem.TypeOverloaded, x.executed(), "the upstream refused the request").After(failure.retryAfter)
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"peridotrail/internal/entry/forward"
+	"peridotrail/internal/fleet/relay"
 	"peridotrail/internal/invariant"
 	"peridotrail/internal/problem"
 	"peridotrail/internal/upstream"
@@ -22,13 +23,7 @@
 	executed   problem.Executed
 	retryAfter time.Duration
 	detail     string
-}
-
-// NotRunError is implemented by transport errors that prove that no byte of the
-// request reached an upstream.
-type NotRunError interface {
-	error
-	NotRun() bool
+	refusal    *problem.Problem // of the entry host that the request was relayed to
 }
 
 // send makes one attempt under permit. It returns nil when the caller has the
@@ -56,7 +51,7 @@
 		return failure
 	}
 	defer response.Body.Close()
-	if failure := x.checkResponse(request, response); failure != nil {
+	if failure := x.checkResponse(request, response, target.IsPeer); failure != nil {
 		x.note(failure.executed)
 		outcome.Result = failure.result
 		return failure
@@ -134,16 +129,19 @@
 func transportFailure(ctx context.Context, err error) *sendFailure {
 	failure := &sendFailure{result: upstream.ResultFailed, executed: problem.ExecutedUnknown, detail: "the connection to the upstream failed"}
 	var sent *forward.Error
-	var notRun NotRunError
+	var relayed *relay.Error
 	switch {
 	case errors.As(err, &sent):
 		failure.executed = sent.Executed
 		if sent.Phase == forward.PhaseConnect {
 			failure.result = upstream.ResultConnect
 		}
-	case errors.As(err, &notRun) && notRun.NotRun():
-		failure.executed = problem.ExecutedNo
-		failure.result = upstream.ResultConnect
+	case errors.As(err, &relayed):
+		failure.detail = "the relay to another entry host failed"
+		if relayed.NotRun {
+			failure.executed = problem.ExecutedNo
+			failure.result = upstream.ResultConnect
+		}
 	}
 	if ctx.Err() != nil {
 		failure.result = endResult(ctx)
@@ -160,7 +158,10 @@
 
 // checkResponse finds answers that are not passed on: the target's word that it
 // did not run the request, and answers whose end or owner is uncertain.
-func (x *exchange) checkResponse(request *http.Request, response *http.Response) *sendFailure {
+func (x *exchange) checkResponse(request *http.Request, response *http.Response, isPeer bool) *sendFailure {
+	if isPeer {
+		return peerRefusal(response) // a relay marks the end of its answers itself
+	}
 	if saysNotRun(response) {
 		return &sendFailure{result: upstream.ResultShed, executed: problem.ExecutedNo, retryAfter: retryAfter(response.Header)}
 	}
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -21,7 +21,6 @@
 	relayWeight      = "Peridotrail-Relay-Weight"
 	relayPriority    = "Peridotrail-Relay-Priority"
 	relayIdempotent  = "Peridotrail-Relay-Idempotent"
-	relayOrigin      = "Peridotrail-Relay-Origin"
 	relayGrant       = "Peridotrail-Relay-Grant"
 	authorization    = "Authorization"
 	maxUnescapeDepth = 3
--- a/internal/entry/idempotency.go
+++ b/internal/entry/idempotency.go
@@ -101,11 +101,12 @@
 	next.ServeHTTP(capture, r)
 }
 
-// endTicket tells the keeper how the attempt ended, after the answer has left.
+// endTicket tells the keeper how the attempt ended. A keeper on another host is
+// told after the answer has left, so that the caller does not wait for it.
 func (f *FrontDoor) endTicket(c *capture, r *http.Request, x *exchange, ticket *idempotency.Ticket) {
 	reason := recover()
 	result, answer := x.outcome(c, reason != nil)
-	if reason == nil {
+	if reason == nil && !ticket.IsLocal() {
 		_ = http.NewResponseController(c.ResponseWriter).Flush() // a lost caller asks again
 	}
 	invariant.Check(result != idempotency.ResultNotRun || !x.mayHaveRun, invariant.AtMostOnce,
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 
+	"peridotrail/internal/fleet/relay"
 	"peridotrail/internal/problem"
 	"peridotrail/internal/upstream"
 )
@@ -54,7 +57,34 @@
 	x.weight, _ = strconv.Atoi(header.Get(relayWeight)) // zero counts as one
 	x.priority = priorityOf(header.Get(relayPriority))
 	x.idempotent = header.Get(relayIdempotent) == "true"
-	x.origin = header.Get(relayOrigin)
+	if incoming, ok := relay.FromContext(r.Context()); ok {
+		x.origin = string(incoming.From.ID)
+	}
 	x.grant, _ = strconv.ParseUint(header.Get(relayGrant), 10, 64) // zero names no grant
 	return nil
 }
+
+const maxProblemBytes = 16 << 10
+
+// peerRefusal returns the refusal of the entry host that a request was relayed
+// to, nil if the response is an upstream's answer. Only front doors send the
+// header; they remove it from upstreams' answers.
+func peerRefusal(response *http.Response) *sendFailure {
+	executed := response.Header.Get(problem.ExecutedHeader)
+	if executed == "" {
+		return nil
+	}
+	failure := &sendFailure{result: upstream.ResultFailed, executed: problem.ExecutedUnknown, refusal: &problem.Problem{}}
+	if executed == string(problem.ExecutedNo) {
+		failure.result = upstream.ResultShed
+		failure.executed = problem.ExecutedNo
+	}
+	body := io.LimitReader(response.Body, maxProblemBytes)
+	if err := json.NewDecoder(body).Decode(failure.refusal); err != nil {
+		failure.refusal = problem.New(problem.TypeUpstreamFailed, failure.executed, "the refusal of another entry host can't be read")
+	}
+	if response.Header.Get("Retry-After") != "" {
+		failure.refusal.RetryAfter = retryAfter(response.Header)
+	}
+	return failure
+}
--- a/internal/idempotency/client.go
+++ b/internal/idempotency/client.go
@@ -169,6 +169,9 @@
 	return c.Calls.Call(ctx, keeper.Fleet, kind, message, reply)
 }
 
+// IsLocal reports whether this host is the keeper.
+func (t *Ticket) IsLocal() bool { return t.keeper.ID == t.client.Self.ID }
+
 // Finish tells the keeper how the attempt ended. It returns a *KeeperError if
 // the keeper did not confirm; the key then stays unknown. It goes on after ctx
 // has ended, for at most a few seconds.
@@ -176,7 +179,7 @@
 	first := t.finished.CompareAndSwap(false, true)
 	invariant.Check(first, invariant.AtMostOnce, "attempt %d finished twice", t.begin.Attempt.Sequence)
 	f := Finish{Account: t.begin.Account, Key: t.begin.Key, Attempt: t.begin.Attempt, Result: result, Answer: answer}
-	if t.keeper.ID == t.client.Self.ID {
+	if t.IsLocal() {
 		t.client.Local.Finish(&f)
 		return nil
 	}
