--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -22,8 +22,6 @@
 	maxDeadline       = time.Hour
 	maxInterval       = 24 * time.Hour
 	maxWindow         = 366 * 24 * time.Hour
-	minStaleAge       = 30 * time.Second
-	maxStaleAge       = 30 * 24 * time.Hour
 	maxEgress         = 1e15 // bytes per second
 )
 
@@ -45,8 +43,8 @@
 	v.regions()
 	v.failureDomains()
 	v.clientAccounts()
+	v.grantedKeys()
 	v.withdrawnKeys()
-	v.staleKeys()
 	v.services()
 	v.upstreams()
 	v.routes()
@@ -68,6 +66,7 @@
 	accountNames  names
 	serviceNames  names
 	upstreamNames names
+	keys          keySet
 }
 
 // names is the set of names of one collection.
--- a/internal/distribution/cluster_test.go
+++ b/internal/distribution/cluster_test.go
@@ -77,7 +77,7 @@
 		for i := range perDomain {
 			id := host.ID(fmt.Sprintf("%s-%d", domain, i))
 			if i == 0 {
-				c.leaders[domain] = leader{id, 1}
+				c.lead(domain, id, 1)
 			}
 			c.start(id, domain, 1)
 		}
@@ -104,6 +104,7 @@
 	n.Distributor = New(Config{
 		Self: identity, Store: c.store.Client(store.Caller{Host: string(id), FailureDomain: domain}),
 		Caller: joined, Registry: joined, View: n, Leadership: n, InForce: n.inForce,
+		StaleKeys: StaleKeys{Refuse: true, After: time.Minute},
 	})
 	ctx, cancel := context.WithCancel(c.t.Context())
 	done := make(chan struct{})
