--- a/internal/configuration/decode.go
+++ b/internal/configuration/decode.go
@@ -113,7 +113,9 @@
 func jsonFields(t reflect.Type) map[string]int {
 	fields := make(map[string]int, t.NumField())
 	for i := range t.NumField() {
-		fields[jsonName(t.Field(i))] = i
+		if t.Field(i).IsExported() {
+			fields[jsonName(t.Field(i))] = i
+		}
 	}
 	return fields
 }
