--- a/internal/configuration/fuzz_test.go
+++ b/internal/configuration/fuzz_test.go
@@ -71,18 +71,16 @@
 	f.Add(manifest)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		_, _ = DecodeManifest(data)
-		assembler := NewAssembler()
-		var refs []ChunkReference
 		for _, kind := range []ChunkKind{ChunkObjects, ChunkBlocks} {
-			assembler = NewAssembler()
+			assembler := NewAssembler()
 			ref := newChunk(kind, data).Reference
-			if assembler.Add(ref, data) == nil {
-				refs = []ChunkReference{ref}
-				c, err := assembler.Assemble(refs)
-				require.NoError(t, err)
-				for block := range c.Blocks() {
-					require.True(t, block.Prefix.IsValid())
-				}
+			if assembler.Add(ref, data) != nil {
+				continue
+			}
+			c, err := assembler.Assemble([]ChunkReference{ref})
+			require.NoError(t, err)
+			for block := range c.Blocks() {
+				require.True(t, block.Prefix.IsValid())
 			}
 		}
 	})
