--- a/internal/steering/lookup_test.go
+++ b/internal/steering/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math/rand/v2"
 	"net/netip"
 	"runtime"
 	"testing"
@@ -55,8 +56,30 @@
 
 const fleetBlocks = 2_300_000
 
+// scatteredBlocks returns n different blocks of /16 to /24 drawn at random.
+func scatteredBlocks(n int) []configuration.ClientBlock {
+	random := rand.New(rand.NewPCG(1, 2))
+	blocks := makeBlocks(n)
+	seen := make(map[netip.Prefix]bool, n)
+	for i := range blocks {
+		prefix := netip.Prefix{}
+		for !prefix.IsValid() || seen[prefix] {
+			var raw [4]byte
+			binary.BigEndian.PutUint32(raw[:], random.Uint32())
+			prefix = netip.PrefixFrom(netip.AddrFrom4(raw), 24-min(8, int(random.ExpFloat64()))).Masked()
+		}
+		seen[prefix] = true
+		blocks[i].Prefix = prefix
+	}
+	return blocks
+}
+
 func BenchmarkTableLookup(b *testing.B) {
-	blocks := makeBlocks(fleetBlocks)
+	b.Run("dense", func(b *testing.B) { benchmarkTable(b, makeBlocks(fleetBlocks)) })
+	b.Run("scattered", func(b *testing.B) { benchmarkTable(b, scatteredBlocks(fleetBlocks)) })
+}
+
+func benchmarkTable(b *testing.B, blocks []configuration.ClientBlock) {
 	before := heapInUse()
 	table := NewTable(blocks)
 	size := heapInUse() - before
--- a/internal/upstream/dispatcher.go
+++ b/internal/upstream/dispatcher.go
@@ -67,7 +67,9 @@
 func (d *Dispatcher) now() time.Time { return d.options.Now() }
 
 // Acquire waits for a place to run work. It returns a *RefusedError when there
-// is none in time; no byte of the request has been sent then.
+// is none in time; no byte of the request has been sent then. Work that excludes
+// an upstream of this failure domain is a retry and draws on the retry budget of
+// its service.
 func (d *Dispatcher) Acquire(ctx context.Context, work Work) (*Permit, error) {
 	if ctx.Err() != nil {
 		return nil, &RefusedError{Reason: ReasonWithdrawn, Service: work.Service, Err: context.Cause(ctx)}
@@ -83,30 +85,6 @@
 	return l.acquire(ctx, work)
 }
 
-// AllowRetry reports whether work that ended with result may be sent again. Work
-// that did not run may always go elsewhere; work that may have run only if it is
-// idempotent. Both draw on the retry budget of the service.
-func (d *Dispatcher) AllowRetry(work Work, result Result) bool {
-	switch result {
-	case ResultShed, ResultConnect:
-	case ResultFailed:
-		if !work.Idempotent {
-			return false
-		}
-	default:
-		return false
-	}
-	l := d.current().lanes[work.Service]
-	if l == nil {
-		return false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	allowed := l.pool.retries.withdraw()
-	d.stats.retry(allowed)
-	return allowed
-}
-
 // Load is what this host does at one upstream.
 type Load struct {
 	Upstream string
--- a/internal/upstream/lane.go
+++ b/internal/upstream/lane.go
@@ -23,8 +23,10 @@
 func (l *lane) acquire(ctx context.Context, work Work) (*Permit, error) {
 	now := l.dispatcher.now()
 	l.mu.Lock()
-	if !work.Relayed && len(work.Excluded) == 0 {
-		l.pool.retries.attempt()
+	if !l.pool.mayAttempt(&work) {
+		l.mu.Unlock()
+		l.dispatcher.stats.retriesRefused.Inc(1)
+		return l.settle(nil, &RefusedError{Reason: ReasonOverloaded, Service: work.Service, RetryAfter: time.Second}, now)
 	}
 	place, refused := l.pool.submitNow(work, now)
 	l.mu.Unlock()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -323,6 +323,23 @@
 	p.queue.correct(&place.work, now.Sub(place.started).Seconds()-place.cost)
 }
 
+// mayAttempt counts a first attempt, or takes a retry from the budget. Work that
+// a peer refused did not run and may always be sent elsewhere.
+func (p *pool) mayAttempt(work *Work) bool {
+	if work.Relayed {
+		return true
+	}
+	for _, w := range p.workers {
+		if excluded(work, w.upstream.Name) {
+			return p.retries.withdraw()
+		}
+	}
+	if len(work.Excluded) == 0 {
+		p.retries.attempt()
+	}
+	return true
+}
+
 // mayEject reports whether the pool can spare w.
 func (p *pool) mayEject(w *worker) bool {
 	ejected := 1
--- a/internal/upstream/queue_test.go
+++ b/internal/upstream/queue_test.go
@@ -54,6 +54,23 @@
 	require.Contains(t, next, "small")
 }
 
+func TestQueueIdleAccountGathersNoCredit(t *testing.T) {
+	q := newFairQueue()
+	busy := Work{Account: "busy"}
+	for range 100 {
+		q.charge(&busy, 0.01)
+	}
+	served := map[string]int{}
+	for range 20 {
+		q.push(queued("busy", 1, ""))
+		q.push(queued("idle", 1, ""))
+	}
+	for range 20 {
+		served[q.pop(0.01, anyWaiter).work.Account]++
+	}
+	require.InDelta(t, 10, served["idle"], 1)
+}
+
 func TestQueueFullQueueDisplacesTheLargestBacklog(t *testing.T) {
 	q := newFairQueue()
 	for i := range q.limit / 2 {
--- a/internal/upstream/room/room.go
+++ b/internal/upstream/room/room.go
@@ -70,22 +70,28 @@
 // SetAside returns how many slots are reserved for relays that have not arrived.
 func (l *Lender) SetAside(now time.Time) int {
 	total := 0
-	for id, g := range l.loans {
-		if now.After(g.expires) {
-			if g.inUse == 0 {
-				delete(l.loans, id)
-			}
-			continue
+	for _, g := range l.loans {
+		if !now.After(g.expires) {
+			total += max(0, g.slots-g.inUse)
 		}
-		total += max(0, g.slots-g.inUse)
 	}
 	return total
 }
 
+// forget drops the loans that have expired and run nothing.
+func (l *Lender) forget(now time.Time) {
+	for id, g := range l.loans {
+		if now.After(g.expires) && g.inUse == 0 {
+			delete(l.loans, id)
+		}
+	}
+}
+
 // Lend grants origin up to the wanted slots out of free, the slots that are
 // neither in use nor set aside. A renewal keeps its grant: its unused slots count
 // as free, and the reply gives its new size, which may be smaller.
 func (l *Lender) Lend(origin host.ID, request Request, free int, now time.Time) Reply {
+	l.forget(now)
 	g := l.loans[request.Renew]
 	if g == nil || g.origin != origin || now.After(g.expires) {
 		return l.lendNew(origin, min(request.Slots, free), now)
--- a/internal/upstream/room/room_test.go
+++ b/internal/upstream/room/room_test.go
@@ -16,6 +16,8 @@
 	flag.Parse()
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
 		_ = flag.Set("rapid.seed", "1")
+		_ = flag.Set("rapid.checks", "500")
+		_ = flag.Set("rapid.steps", "100")
 	}
 	os.Exit(m.Run())
 }
@@ -103,6 +105,16 @@
 	m.relays = append(m.relays, relay{holder: holder, holding: holding, grant: holding.Grant, running: true})
 }
 
+// rogue relays under a grant without regard to its size or end.
+func (m *roomModel) rogue(t *rapid.T) {
+	holder := rapid.IntRange(0, len(m.holders)-1).Draw(t, "holder")
+	grant := uint64(rapid.IntRange(1, 10).Draw(t, "grant"))
+	if m.lender.Use(origin(holder), grant, m.now) == nil {
+		holding := &Holding{InUse: 1}
+		m.relays = append(m.relays, relay{holder: holder, holding: holding, grant: grant, running: true})
+	}
+}
+
 func (m *roomModel) end(t *rapid.T) {
 	if len(m.relays) == 0 {
 		return
@@ -127,6 +139,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"ask":   m.ask,
 			"relay": m.relay,
+			"rogue": m.rogue,
 			"end":   m.end,
 			"time": func(t *rapid.T) {
 				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "passed")) * time.Millisecond)
--- a/internal/upstream/stats.go
+++ b/internal/upstream/stats.go
@@ -11,13 +11,13 @@
 
 // stats are the metrics of dispatch.
 type stats struct {
-	local, relayed          metrics.Counter
-	roomAsked, roomFailed   metrics.Counter
-	roomSlots, roomLent     metrics.Counter
-	retries, retriesRefused metrics.Counter
-	refusals                [ReasonShuttingDown + 1]metrics.Counter
-	reportsLost             metrics.Counter
-	wait                    metrics.Histogram // microseconds
+	local, relayed        metrics.Counter
+	roomAsked, roomFailed metrics.Counter
+	roomSlots, roomLent   metrics.Counter
+	retriesRefused        metrics.Counter
+	refusals              [ReasonShuttingDown + 1]metrics.Counter
+	reportsLost           metrics.Counter
+	wait                  metrics.Histogram // microseconds
 }
 
 func newStats(registry metrics.Registry) *stats {
@@ -26,9 +26,9 @@
 		local: counter("local"), relayed: counter("relayed"),
 		roomAsked: counter("room.asked"), roomFailed: counter("room.failed"),
 		roomSlots: counter("room.slots"), roomLent: counter("room.lent"),
-		reportsLost: counter("reports.lost"),
-		retries:     counter("retries"), retriesRefused: counter("retries.refused"),
-		wait: metrics.GetOrRegisterHistogram("dispatch.wait", registry, metrics.NewExpDecaySample(waitReservoir, 0.015)),
+		reportsLost:    counter("reports.lost"),
+		retriesRefused: counter("retries.refused"),
+		wait:           metrics.GetOrRegisterHistogram("dispatch.wait", registry, metrics.NewExpDecaySample(waitReservoir, 0.015)),
 	}
 	names := map[Reason]string{
 		ReasonNoUpstream: "no-upstream", ReasonOverloaded: "overloaded", ReasonDeadlineTooShort: "deadline-too-short",
@@ -43,11 +43,3 @@
 func (s *stats) refused(reason Reason) { s.refusals[reason].Inc(1) }
 
 func (s *stats) waited(d time.Duration) { s.wait.Update(d.Microseconds()) }
-
-func (s *stats) retry(allowed bool) {
-	if allowed {
-		s.retries.Inc(1)
-		return
-	}
-	s.retriesRefused.Inc(1)
-}
