Pace calls for chunks; commit above lost revisions

Cause: a first configuration of 2.3 million blocks is some 550 chunks, which at four in parallel would take all of the store's several hundred writes a second; hosts refuse lower revisions after a store has lost its data; a failed search for orphaned chunks made a commit fail. Tested: go test ./internal/configuration/... ./internal/ctl ./internal/distribution. Conclusion: none of it changes what an ordinary change costs.

--- a/internal/configuration/commit.go
+++ b/internal/configuration/commit.go
@@ -20,6 +20,14 @@
 // the store's error if nothing has taken effect. What is in force stays in force
 // after every failure but a *OutcomeError.
 func (r *Repository) Commit(ctx context.Context, base Revision, c *Configuration) (Revision, error) {
+	return r.CommitAbove(ctx, base, 0, c)
+}
+
+// CommitAbove is Commit with a revision that is also greater than floor. It is
+// for a store that has lost revisions which hosts still have in force: they take
+// in greater revisions only. With a floor, a configuration equal to the stored
+// one is committed again unless its revision is greater.
+func (r *Repository) CommitAbove(ctx context.Context, base, floor Revision, c *Configuration) (Revision, error) {
 	if err := Validate(c); err != nil {
 		return 0, err
 	}
@@ -32,7 +40,7 @@
 		return 0, err
 	}
 	refs := references(chunks)
-	if current != nil && current.Digest == digestOfReferences(refs) {
+	if current != nil && current.Revision > floor && current.Digest == digestOfReferences(refs) {
 		return current.Revision, nil
 	}
 	if revisionOfRoot(current) != base {
@@ -41,7 +49,7 @@
 	if err := r.writeChunks(ctx, current, chunks); err != nil {
 		return 0, err
 	}
-	revision, err := r.replaceRoot(ctx, current, expected, refs)
+	revision, err := r.replaceRoot(ctx, current, expected, floor, refs)
 	if platform.IsKind(err, platform.KindConflict) {
 		latest, _, rootErr := r.Root(ctx)
 		if rootErr != nil {
@@ -97,6 +105,9 @@
 
 func (r *Repository) writeChunk(ctx context.Context, chunk Chunk) error {
 	write := platform.Write{Key: ChunkKey(chunk.Reference.Digest), Value: chunk.Data}
+	if err := r.pace.Wait(ctx); err != nil {
+		return &platform.Error{Kind: platform.KindUnavailable, Op: "compareAndSwap", Key: write.Key, Err: err}
+	}
 	return retry(ctx, func() error {
 		entry, err := r.config.Store.CompareAndSwap(ctx, write)
 		if platform.IsKind(err, platform.KindConflict) {
@@ -113,18 +124,15 @@
 
 // replaceRoot writes the next root over the one with the store revision
 // expected. It returns a store error of KindConflict if another commit was first.
-func (r *Repository) replaceRoot(ctx context.Context, current *Manifest, expected platform.Revision, refs []ChunkReference) (Revision, error) {
-	stored, err := r.sweep(ctx, current)
-	if err != nil {
-		return 0, err
-	}
+func (r *Repository) replaceRoot(ctx context.Context, current *Manifest, expected platform.Revision, floor Revision, refs []ChunkReference) (Revision, error) {
+	stored := r.sweep(ctx, current)
 	now := r.config.Now()
 	plan := planCollection(current, refs, stored, now, r.config.GarbageGrace)
 	doomed, err := r.revisions(ctx, plan.remove)
 	if err != nil {
 		return 0, err
 	}
-	next := current.next(r.config.NewOperation(), refs, now, plan)
+	next := current.next(r.config.NewOperation(), floor, refs, now, plan)
 	if err := r.swapRoot(ctx, next, expected); err != nil {
 		return 0, err
 	}
@@ -161,7 +169,7 @@
 		return err
 	})
 	if err != nil && uncertain {
-		return &OutcomeError{Operation: operation, Base: next.Revision - 1, Err: err}
+		return &OutcomeError{Operation: operation, Revision: next.Revision, Err: err}
 	}
 	return err
 }
--- a/internal/configuration/garbage.go
+++ b/internal/configuration/garbage.go
@@ -16,21 +16,18 @@
 }
 
 // sweep lists the chunks of the store if the last search is old, to find those
-// that failed commits left behind. It returns nil if no search is due.
+// that failed commits left behind. It returns nil if no search is due or it
+// fails; a later commit searches again.
 //
 // A commit in flight whose chunks are found here fails, because the root changes
 // before its own swap, and writes its chunks again when it is repeated.
-func (r *Repository) sweep(ctx context.Context, current *Manifest) ([]Digest, error) {
+func (r *Repository) sweep(ctx context.Context, current *Manifest) []Digest {
 	if current == nil || r.config.Now().Sub(current.SweptAt) < r.config.SweepInterval {
-		return nil, nil
+		return nil
 	}
-	var entries []platform.Entry
-	err := retry(ctx, func() (err error) {
-		entries, err = r.config.Store.List(ctx, ChunkPrefix)
-		return err
-	})
+	entries, err := r.config.Store.List(ctx, ChunkPrefix)
 	if err != nil {
-		return nil, err
+		return nil
 	}
 	stored := make([]Digest, 0, len(entries))
 	for _, entry := range entries {
@@ -40,7 +37,7 @@
 			stored = append(stored, digest)
 		}
 	}
-	return stored, nil
+	return stored
 }
 
 // revisions returns the store's revisions of chunks that are to be deleted. They
--- a/internal/configuration/manifest.go
+++ b/internal/configuration/manifest.go
@@ -115,10 +115,11 @@
 // answer was lost looks again.
 const historyLength = 64
 
-// next returns the manifest that follows m, which is nil before the first.
-func (m *Manifest) next(id OperationID, refs []ChunkReference, now time.Time, plan collection) *Manifest {
+// next returns the manifest that follows m, which is nil before the first. Its
+// revision is greater than those of m and floor.
+func (m *Manifest) next(id OperationID, floor Revision, refs []ChunkReference, now time.Time, plan collection) *Manifest {
 	next := &Manifest{
-		Revision: 1,
+		Revision: floor + 1,
 		Digest:   digestOfReferences(refs),
 		Chunks:   refs,
 		Garbage:  plan.keep,
@@ -126,7 +127,7 @@
 	}
 	var history []Operation
 	if m != nil {
-		next.Revision = m.Revision + 1
+		next.Revision = max(m.Revision, floor) + 1
 		next.SweptAt = m.SweptAt
 		history = m.History[:min(len(m.History), historyLength-1)]
 	}
--- a/internal/configuration/repository.go
+++ b/internal/configuration/repository.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"peridotrail/internal/platform"
 )
 
@@ -27,13 +29,13 @@
 // configuration again is safe.
 type OutcomeError struct {
 	Operation OperationID
-	Base      Revision
+	Revision  Revision // that the commit would have made
 	Err       error
 }
 
 // Error implements error.
 func (e *OutcomeError) Error() string {
-	return fmt.Sprintf("the commit on revision %d may have taken effect: %v", e.Base, e.Err)
+	return fmt.Sprintf("the commit of revision %d may have taken effect: %v", e.Revision, e.Err)
 }
 
 // Unwrap returns the underlying failure.
@@ -44,6 +46,8 @@
 	DefaultGarbageGrace  = time.Hour
 	DefaultSweepInterval = 24 * time.Hour
 	DefaultParallel      = 4
+	DefaultChunkRate     = 100 // calls per second
+	chunkBurst           = 50  // calls
 )
 
 // RepositoryConfig holds the dependencies of a Repository.
@@ -55,11 +59,15 @@
 	GarbageGrace  time.Duration // age at which an unused chunk is deleted
 	SweepInterval time.Duration // time between searches for chunks of failed commits
 	Parallel      int           // chunks read or written at the same time
+	// ChunksPerSecond bounds the calls for chunks, so that a first configuration
+	// leaves the store room for others. A few dozen chunks go without a wait.
+	ChunksPerSecond float64
 }
 
 // Repository keeps the configuration in the platform's store.
 type Repository struct {
 	config RepositoryConfig
+	pace   *rate.Limiter // of calls for chunks
 }
 
 // NewRepository returns a repository. Zero fields of config take their defaults.
@@ -79,7 +87,13 @@
 	if config.Parallel == 0 {
 		config.Parallel = DefaultParallel
 	}
-	return &Repository{config: config}
+	if config.ChunksPerSecond == 0 {
+		config.ChunksPerSecond = DefaultChunkRate
+	}
+	return &Repository{
+		config: config,
+		pace:   rate.NewLimiter(rate.Limit(config.ChunksPerSecond), chunkBurst),
+	}
 }
 
 // Root returns the root document with the store's revision of it. The manifest
@@ -100,6 +114,9 @@
 // Chunk returns the data of a chunk. It fails with a *ChunkError if the store
 // does not hold it, which means that a newer root has replaced the one read.
 func (r *Repository) Chunk(ctx context.Context, ref ChunkReference) ([]byte, error) {
+	if err := r.pace.Wait(ctx); err != nil {
+		return nil, &platform.Error{Kind: platform.KindUnavailable, Op: "get", Key: ChunkKey(ref.Digest), Err: err}
+	}
 	var entry platform.Entry
 	err := retry(ctx, func() (err error) {
 		entry, err = r.config.Store.Get(ctx, ChunkKey(ref.Digest))
--- a/internal/configuration/repository_test.go
+++ b/internal/configuration/repository_test.go
@@ -161,6 +161,23 @@
 	require.Empty(t, plan.keep)
 }
 
+func TestCommitAboveARevisionThatTheStoreHasLost(t *testing.T) {
+	ctx := t.Context()
+	r := NewRepository(RepositoryConfig{Store: store.New()})
+	revision, err := r.CommitAbove(ctx, 0, 50, regionsOf("a"))
+	require.NoError(t, err)
+	require.Equal(t, Revision(51), revision)
+	revision, err = r.CommitAbove(ctx, 51, 60, regionsOf("a"))
+	require.NoError(t, err)
+	require.Equal(t, Revision(61), revision, "the same content in a greater revision")
+	revision, err = r.CommitAbove(ctx, 61, 60, regionsOf("a"))
+	require.NoError(t, err)
+	require.Equal(t, Revision(61), revision)
+	revision, err = r.Commit(ctx, 61, regionsOf("b"))
+	require.NoError(t, err)
+	require.Equal(t, Revision(62), revision)
+}
+
 // operator commits what it last saw with one more region.
 type operator struct {
 	repository *Repository
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -31,6 +31,7 @@
 	flagWait     = "wait"
 	flagTimeout  = "timeout"
 	flagSeen     = "seen"
+	flagAbove    = "above"
 	flagExitCode = "exit-code"
 	flagKind     = "kind"
 	flagTarget   = "target"
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -102,11 +102,11 @@
 		answer.Revision = stored.Revision
 		answer.Difference = configuration.Compare(stored.Configuration, loaded)
 	}
-	if c.Bool(flagSeen) && stored != nil {
-		if err := dir.setBase(base{Revision: stored.Revision, Digest: stored.Digest}); err != nil {
+	if c.Bool(flagSeen) {
+		if err := dir.setBase(baseOf(stored)); err != nil {
 			return err
 		}
-		answer.Base = stored.Revision
+		answer.Base = answer.Revision
 	}
 	if err := a.print(outputOf(c), answer, answer.table); err != nil {
 		return err
@@ -117,6 +117,13 @@
 	return nil
 }
 
+func baseOf(stored *configuration.Snapshot) base {
+	if stored == nil {
+		return base{}
+	}
+	return base{Revision: stored.Revision, Digest: stored.Digest}
+}
+
 func (d diffOutput) table(w io.Writer) {
 	_, _ = fmt.Fprintf(w, "stored revision %d, seen revision %d, %d change(s)\n", d.Revision, d.Base, len(d.Changes))
 	for _, change := range d.Changes {
@@ -129,7 +136,9 @@
 		Name:      "apply",
 		Usage:     "make a folder the configuration in force",
 		ArgsUsage: "DIR",
-		Flags:     applyFlags(),
+		Flags: append(applyFlags(),
+			&cli.Uint64Flag{Name: flagAbove, Usage: "make the new revision greater than `REVISION`; for a store that has lost revisions which hosts have in force"},
+		),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			args, err := arguments(c, "DIR")
 			if err != nil {
@@ -183,7 +192,8 @@
 		return applyOutput{}, err
 	}
 	repository := configuration.NewRepository(configuration.RepositoryConfig{Store: store})
-	revision, err := repository.Commit(ctx, seen.Revision, loaded)
+	floor := configuration.Revision(c.Uint64(flagAbove))
+	revision, err := repository.CommitAbove(ctx, seen.Revision, floor, loaded)
 	if err != nil {
 		return applyOutput{}, err
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -128,6 +128,19 @@
 	b.run(exitStore, "apply", b.dir, "--timeout", "50ms")
 }
 
+func TestApplyAboveRevisionsThatTheStoreHasLost(t *testing.T) {
+	b := newBench(t)
+	b.run(exitOK, "apply", b.dir)
+	b.store = store.New()
+	_, stderr := b.run(exitConflict, "apply", b.dir)
+	require.Contains(t, stderr, "revision 0 is in the store, but the change is based on revision 1")
+	b.run(exitOK, "diff", b.dir, "--seen")
+	b.run(exitOK, "apply", b.dir, "--above", "41")
+	require.Equal(t, configuration.Revision(42), b.stored().Revision)
+	b.run(exitOK, "key", "grant", b.dir, "clinic", "k")
+	require.Equal(t, configuration.Revision(43), b.stored().Revision)
+}
+
 func TestKeysAreGrantedAndWithdrawn(t *testing.T) {
 	b := newBench(t)
 	out, _ := b.run(exitOK, "key", "grant", b.dir, "clinic", "k1", "-o", "json")
--- a/internal/distribution/handlers.go
+++ b/internal/distribution/handlers.go
@@ -60,6 +60,7 @@
 	if err := decode(&request); err != nil {
 		return nil, err
 	}
+	d.Hint(from, request.Revision)
 	now := time.Now()
 	if from.FailureDomain != d.config.Self.FailureDomain {
 		d.contact.seen(now)
