Elect one leader per failure domain

Cause: each domain needs one host that talks to the store and divides shares. Change: leadership.Elector (pure) and Service: leased key in the store whose creation revision is the epoch, ordered and jittered candidates, hold-over while the store is away, handover on a planned stop, Fence for lower epochs. Membership: a new leader gives listed hosts time to report, stamps name their maker, and a host follows a newer list of its domain from any host. Tested: go test -count=3 ./internal/leadership and go test ./internal/membership pass.

--- /dev/null
+++ b/internal/leadership/campaign.go
@@ -0,0 +1,139 @@
+package leadership
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"peridotrail/internal/fleet"
+	"peridotrail/internal/host"
+	"peridotrail/internal/platform"
+)
+
+// Keys of the store. Each is followed by the name of a failure domain.
+const (
+	LeaderPrefix = "peridotrail/leader/" // leased; its creation revision is the epoch
+	EpochPrefix  = "peridotrail/epoch/"  // kept; exists once the domain has had a leader
+)
+
+// record is the value of a leader key.
+type record struct {
+	Leader host.Identity `cbor:"1,keyasint"`
+}
+
+// campaign makes the calls to the store. It remembers the lease that it asked
+// for, so that a key whose answer was lost is recognised as its own.
+type campaign struct {
+	store  platform.Store
+	self   host.Identity
+	timing Timing
+	lease  platform.LeaseID
+}
+
+func (c *campaign) leaderKey() string { return LeaderPrefix + c.self.FailureDomain }
+func (c *campaign) epochKey() string  { return EpochPrefix + c.self.FailureDomain }
+
+// acquire tries to create the leader key.
+func (c *campaign) acquire(ctx context.Context, now func() time.Time) Result {
+	sent := now()
+	marker, err := c.store.Get(ctx, c.epochKey())
+	if err != nil {
+		return Result{Outcome: OutcomeUnavailable}
+	}
+	current, err := c.store.Get(ctx, c.leaderKey())
+	if err != nil {
+		return Result{Outcome: OutcomeUnavailable}
+	}
+	if !current.Exists() {
+		if current, err = c.create(ctx); err != nil {
+			return Result{Outcome: OutcomeUnavailable}
+		}
+	} else if c.owns(current) {
+		if err := c.store.Renew(ctx, c.lease); err != nil {
+			return Result{Outcome: OutcomeUnavailable}
+		}
+	}
+	if !c.owns(current) {
+		return other(current)
+	}
+	if !marker.Exists() && !c.mark(ctx) {
+		return Result{Outcome: OutcomeUnavailable}
+	}
+	return Result{
+		Outcome: OutcomeHeld, Sent: sent, Lease: c.lease,
+		Epoch: uint64(current.Revision), First: !marker.Exists(),
+	}
+}
+
+func (c *campaign) owns(entry platform.Entry) bool {
+	return entry.Exists() && c.lease != 0 && entry.Lease == c.lease
+}
+
+// create writes the leader key under a new lease. On a conflict it returns the
+// entry that another process wrote.
+func (c *campaign) create(ctx context.Context) (platform.Entry, error) {
+	lease, err := c.store.Grant(ctx, c.timing.LeaseTTL)
+	if err != nil {
+		return platform.Entry{}, err
+	}
+	c.lease = lease
+	value, err := fleet.Marshal(record{Leader: c.self})
+	if err != nil {
+		return platform.Entry{}, err
+	}
+	entry, err := c.store.CompareAndSwap(ctx, platform.Write{Key: c.leaderKey(), Value: value, Lease: lease})
+	switch {
+	case err == nil:
+		return entry, nil
+	case platform.IsKind(err, platform.KindConflict):
+		_ = c.store.Revoke(ctx, lease)
+		c.lease = 0
+		return entry, nil
+	case platform.IsKind(err, platform.KindUnknownOutcome):
+		return c.store.Get(ctx, c.leaderKey())
+	default:
+		return platform.Entry{}, err
+	}
+}
+
+// mark notes that the domain has had a leader. It reports false if that is not
+// certain.
+func (c *campaign) mark(ctx context.Context) bool {
+	_, err := c.store.CompareAndSwap(ctx, platform.Write{Key: c.epochKey(), Value: []byte(c.self.ID)})
+	return err == nil || platform.IsKind(err, platform.KindConflict)
+}
+
+func other(entry platform.Entry) Result {
+	var held record
+	if !entry.Exists() || fleet.Unmarshal(entry.Value, &held) != nil {
+		return Result{Outcome: OutcomeUnavailable}
+	}
+	return Result{Outcome: OutcomeOther, Leader: held.Leader, Epoch: uint64(entry.Revision)}
+}
+
+// renew extends the lease.
+func (c *campaign) renew(ctx context.Context, lease platform.LeaseID) Outcome {
+	err := c.store.Renew(ctx, lease)
+	switch {
+	case err == nil:
+		return OutcomeHeld
+	case platform.IsKind(err, platform.KindLeaseExpired):
+		return OutcomeExpired
+	default:
+		return OutcomeUnavailable
+	}
+}
+
+// StaleEpochError is a message from a leader whose epoch has passed.
+type StaleEpochError struct {
+	Got   uint64
+	Known uint64
+}
+
+// Error implements error.
+func (e *StaleEpochError) Error() string {
+	return fmt.Sprintf("epoch %d has passed: %d is known", e.Got, e.Known)
+}
+
+// FleetCode implements fleet.Coded.
+func (e *StaleEpochError) FleetCode() string { return "stale-epoch" }
--- /dev/null
+++ b/internal/leadership/service.go
@@ -0,0 +1,272 @@
+package leadership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"peridotrail/internal/duty"
+	"peridotrail/internal/fleet"
+	"peridotrail/internal/host"
+	"peridotrail/internal/membership"
+	"peridotrail/internal/platform"
+)
+
+// KindHandover tells a host that it should follow as leader.
+const KindHandover fleet.Kind = "leadership.handover"
+
+const (
+	tickPeriod   = 250 * time.Millisecond
+	storeTimeout = 2 * time.Second // of one action
+	resultBuffer = 4
+)
+
+// handover is the message with which a leader that stops names its successor.
+type handover struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+}
+
+// Options configures a Service.
+type Options struct {
+	Self    host.Identity
+	Store   platform.Store
+	View    func() *membership.View
+	Caller  fleet.Caller
+	Timing  Timing           // DefaultTiming if zero
+	Logger  log.Logger       // nil logs nothing
+	Metrics metrics.Registry // nil counts in a private registry
+}
+
+// Service runs the Elector of this host. It is safe for concurrent use.
+type Service struct {
+	options  Options
+	campaign *campaign // used by one action at a time
+	results  chan func(*Elector)
+	work     sync.WaitGroup
+
+	changes  metrics.Counter
+	failures metrics.Counter
+	self     metrics.Gauge
+	holdOver metrics.Gauge
+	epoch    metrics.Gauge
+
+	mu          sync.Mutex // held for computation only
+	elector     *Elector
+	last        Status
+	subscribers []func(Status)
+}
+
+// New returns a service that knows no leader.
+func New(options Options) *Service {
+	if options.Timing == (Timing{}) {
+		options.Timing = DefaultTiming()
+	}
+	if options.Logger == nil {
+		options.Logger = log.NewNopLogger()
+	}
+	if options.Metrics == nil {
+		options.Metrics = metrics.NewRegistry()
+	}
+	return &Service{
+		options:  options,
+		campaign: &campaign{store: options.Store, self: options.Self, timing: options.Timing},
+		results:  make(chan func(*Elector), resultBuffer),
+		changes:  metrics.GetOrRegisterCounter("leadership.changes", options.Metrics),
+		failures: metrics.GetOrRegisterCounter("leadership.store.errors", options.Metrics),
+		self:     metrics.GetOrRegisterGauge("leadership.self", options.Metrics),
+		holdOver: metrics.GetOrRegisterGauge("leadership.holdover", options.Metrics),
+		epoch:    metrics.GetOrRegisterGauge("leadership.epoch", options.Metrics),
+		elector:  NewElector(options.Self, options.Timing, time.Now()),
+	}
+}
+
+// Register makes the service accept handovers.
+func (s *Service) Register(registry fleet.Registry) {
+	registry.Handle(KindHandover, s.handleHandover)
+}
+
+// Subscribe calls f after each change of the status. f must not block.
+func (s *Service) Subscribe(f func(Status)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers = append(s.subscribers, f)
+}
+
+// Current returns the leadership at this moment. Self is true only while this
+// process may act; a leader asks before each decision.
+func (s *Service) Current() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.elector.Status(time.Now())
+}
+
+// Leadership gives membership what it tells other hosts.
+func (s *Service) Leadership() membership.Leadership {
+	status := s.Current()
+	return membership.Leadership{Leader: status.Leader.ID, Epoch: status.Epoch}
+}
+
+// OnDigest takes in what another host says of the leader. It is made for
+// membership.Service.OnDigest.
+func (s *Service) OnDigest(from host.Identity, digest membership.Digest) {
+	if from.FailureDomain != s.options.Self.FailureDomain {
+		return
+	}
+	leader := s.resolve(from, digest.Leader)
+	s.mu.Lock()
+	s.elector.Heard(time.Now(), from, leader, digest.LeaderEpoch)
+	s.mu.Unlock()
+	s.notify()
+}
+
+// resolve finds the process that is meant by the name of a leader.
+func (s *Service) resolve(from host.Identity, leader host.ID) host.Identity {
+	if leader == from.ID {
+		return from
+	}
+	if leader == s.options.Self.ID {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.elector.leading {
+			return s.options.Self
+		}
+		return host.Identity{ID: leader}
+	}
+	for _, m := range s.options.View().Members {
+		if m.Identity.ID == leader {
+			return m.Identity
+		}
+	}
+	return host.Identity{ID: leader}
+}
+
+// Run decides until ctx ends.
+func (s *Service) Run(ctx context.Context, beat duty.Beat) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	defer s.work.Wait()
+	for {
+		s.tick(ctx)
+		beat()
+		select {
+		case <-ctx.Done():
+			return nil
+		case apply := <-s.results:
+			s.mu.Lock()
+			apply(s.elector)
+			s.mu.Unlock()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Service) tick(ctx context.Context) {
+	view := s.options.View()
+	observed := Observation{
+		Candidates: view.Candidates,
+		PeersHeard: view.Refreshed,
+		Alone:      view.Alone,
+		Fresh:      view.Fresh,
+	}
+	s.mu.Lock()
+	action := s.elector.Tick(time.Now(), observed)
+	lease := s.elector.Lease()
+	s.mu.Unlock()
+	s.notify()
+	switch action {
+	case ActionAcquire:
+		s.work.Go(func() { s.acquire(ctx) })
+	case ActionRenew:
+		s.work.Go(func() { s.renew(ctx, lease) })
+	}
+}
+
+func (s *Service) acquire(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	result := s.campaign.acquire(ctx, time.Now)
+	if result.Outcome == OutcomeUnavailable {
+		s.failures.Inc(1)
+	}
+	s.results <- func(e *Elector) { e.Acquired(time.Now(), result) }
+}
+
+func (s *Service) renew(ctx context.Context, lease platform.LeaseID) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	sent := time.Now()
+	outcome := s.campaign.renew(ctx, lease)
+	if outcome == OutcomeUnavailable {
+		s.failures.Inc(1)
+	}
+	s.results <- func(e *Elector) { e.Renewed(time.Now(), outcome, sent) }
+}
+
+// notify tells the subscribers of a change.
+func (s *Service) notify() {
+	s.mu.Lock()
+	status := s.elector.Status(time.Now())
+	changed := status != s.last
+	s.last = status
+	subscribers := s.subscribers
+	s.mu.Unlock()
+	if !changed {
+		return
+	}
+	s.changes.Inc(1)
+	s.self.Update(asNumber(status.Self))
+	s.holdOver.Update(asNumber(status.HoldOver))
+	s.epoch.Update(int64(status.Epoch))
+	_ = level.Info(s.options.Logger).Log("component", "leadership", "msg", "leadership changed", "domain", status.Domain,
+		"leader", status.Leader.ID, "epoch", status.Epoch, "self", status.Self, "holdOver", status.HoldOver)
+	for _, f := range subscribers {
+		f(status)
+	}
+}
+
+func asNumber(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// HandOver ends the leadership of this process for a graceful shutdown and names
+// a successor. After it returns, this process does not lead again.
+func (s *Service) HandOver(ctx context.Context) {
+	s.mu.Lock()
+	lease, epoch, successor := s.elector.Stop()
+	s.mu.Unlock()
+	s.notify()
+	if lease == 0 {
+		return
+	}
+	if err := s.options.Store.Revoke(ctx, lease); err != nil {
+		_ = level.Warn(s.options.Logger).Log("component", "leadership", "msg", "lease not ended", "err", err)
+	}
+	for _, m := range s.options.View().Members {
+		if m.Identity.ID != successor {
+			continue
+		}
+		if err := s.options.Caller.Call(ctx, m.Identity.Fleet, KindHandover, handover{Epoch: epoch}, nil); err != nil {
+			_ = level.Warn(s.options.Logger).Log("component", "leadership", "msg", "successor not told", "successor", successor, "err", err)
+		}
+	}
+}
+
+func (s *Service) handleHandover(_ context.Context, from host.Identity, decode fleet.Decoder) (any, error) {
+	var message handover
+	if err := decode(&message); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from.Same(s.elector.leader) {
+		s.elector.HandedOver(message.Epoch)
+	}
+	return struct{}{}, nil
+}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -84,7 +84,8 @@
 // Stamp orders the summaries of one domain.
 type Stamp struct {
 	Epoch    uint64 `cbor:"1,keyasint,omitempty"` // of the leader that made the summary
-	Sequence uint64 `cbor:"2,keyasint,omitempty"` // of the last change within the epoch
+	Sequence uint64 `cbor:"2,keyasint,omitempty"` // of the last change
+	Maker    uint32 `cbor:"3,keyasint,omitempty"` // hash of the process that made the summary
 }
 
 // Less reports whether s is older than other.
@@ -92,7 +93,16 @@
 	if s.Epoch != other.Epoch {
 		return s.Epoch < other.Epoch
 	}
-	return s.Sequence < other.Sequence
+	if s.Sequence != other.Sequence {
+		return s.Sequence < other.Sequence
+	}
+	return s.Maker < other.Maker
+}
+
+// extends reports whether changes after the stamp since may be added to a summary
+// with that stamp: both were made by the same process.
+func (s Stamp) extends(since Stamp) bool {
+	return s.Epoch == since.Epoch && s.Maker == since.Maker
 }
 
 // DomainStamp is the stamp of a domain's summary.
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -154,7 +154,7 @@
 // tick moves the table on and starts the heartbeats that are due.
 func (s *Service) tick(ctx context.Context, now time.Time) {
 	s.mu.Lock()
-	s.table.SetLeadership(s.options.Leadership())
+	s.table.SetLeadership(now, s.options.Leadership())
 	s.table.Tick(now)
 	targets := s.dueTargets(now)
 	s.mu.Unlock()
--- a/internal/membership/summary.go
+++ b/internal/membership/summary.go
@@ -19,7 +19,7 @@
 	if t.Speaker() != t.self.ID {
 		return d.stamp
 	}
-	made := Stamp{Epoch: t.leadership.Epoch, Sequence: t.sequence}
+	made := Stamp{Epoch: t.leadership.Epoch, Sequence: t.sequence, Maker: t.maker}
 	if d.stamp.Less(made) {
 		d.stamp = made
 	}
@@ -51,7 +51,7 @@
 		}
 		_, _ = hash.WriteString(s.Domain)
 		binary.BigEndian.PutUint64(buffer[:8], s.Stamp.Epoch)
-		binary.BigEndian.PutUint64(buffer[8:], s.Stamp.Sequence)
+		binary.BigEndian.PutUint64(buffer[8:], s.Stamp.Sequence^uint64(s.Stamp.Maker)<<32)
 		_, _ = hash.Write(buffer[:])
 	}
 	return hash.Sum64()
@@ -84,7 +84,7 @@
 		result.Leader = t.leadership.Leader
 	}
 	tracked := speaks || !own
-	if tracked && since.Epoch == current.Stamp.Epoch && since.Sequence >= d.base {
+	if tracked && current.Stamp.extends(since) && since.Sequence >= d.base {
 		result.Since = since.Sequence
 	}
 	for _, m := range t.members {
@@ -135,7 +135,7 @@
 		return
 	}
 	d := t.domain(s.Domain)
-	if !d.stamp.Less(s.Stamp) || (s.Since > 0 && (d.stamp.Epoch != s.Stamp.Epoch || d.stamp.Sequence < s.Since)) {
+	if !d.stamp.Less(s.Stamp) || (s.Since > 0 && (!s.Stamp.extends(d.stamp) || d.stamp.Sequence != s.Since)) {
 		return
 	}
 	if s.Since == 0 {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"peridotrail/internal/host"
 )
 
@@ -77,10 +79,12 @@
 	leaving    bool
 	members    map[host.ID]*member
 	domains    map[string]*domain
+	maker      uint32    // of summaries made here
 	sequence   uint64    // of the own domain's summary
 	peerCache  []*member // result of peers; nil if it must be made again
 	lastTick   time.Time
 	stale      bool
+	monitoring bool      // heartbeats of all hosts of the own domain must arrive here
 	refreshed  time.Time // last exchange with a host of the own domain
 }
 
@@ -91,6 +95,7 @@
 		timing:   timing,
 		members:  map[host.ID]*member{},
 		domains:  map[string]*domain{},
+		maker:    uint32(xxhash.Sum64String(string(self.ID)) ^ uint64(self.Incarnation)),
 		sequence: uint64(self.Incarnation),
 		lastTick: now,
 	}
@@ -99,13 +104,30 @@
 }
 
 // SetLeadership notes the leader of the own domain.
-func (t *Table) SetLeadership(leadership Leadership) {
+func (t *Table) SetLeadership(now time.Time, leadership Leadership) {
 	if leadership == t.leadership {
 		return
 	}
 	t.leadership = leadership
 	t.peerCache = nil
 	t.restart(t.sequence + 1)
+	t.beginMonitoring(now)
+}
+
+// beginMonitoring gives the hosts of the own domain time to send heartbeats when
+// this host starts to rely on them instead of a summary.
+func (t *Table) beginMonitoring(now time.Time) {
+	before := t.monitoring
+	t.monitoring = t.isLeader() || t.mesh()
+	if before || !t.monitoring {
+		return
+	}
+	for _, m := range t.members {
+		if m.identity.FailureDomain == t.self.FailureDomain && m.state != host.StateGone {
+			m.heard = now
+			m.period = max(m.period, t.heartbeatPeriod())
+		}
+	}
 }
 
 // restart makes the own domain's summary begin at sequence, so that holders of
@@ -214,6 +236,7 @@
 		t.stale = true
 		t.forgive(gap, now)
 	}
+	t.beginMonitoring(now)
 	for id, m := range t.members {
 		if m.state == host.StateGone && t.silence(m, now) > t.timing.ForgetAfter {
 			d := t.domain(m.identity.FailureDomain)
@@ -307,7 +330,7 @@
 	if m.identity.FailureDomain != t.self.FailureDomain {
 		return false
 	}
-	return t.isLeader() || t.mesh()
+	return t.monitoring
 }
 
 func (t *Table) isLeader() bool { return t.leadership.Leader == t.self.ID }
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -80,7 +80,7 @@
 // leaderTable returns a leader that hears of the given number of other hosts.
 func leaderTable(others int) *Table {
 	table := NewTable(identityOf("a", 0, 1), DefaultTiming(), start)
-	table.SetLeadership(Leadership{Leader: table.self.ID, Epoch: 1})
+	table.SetLeadership(start, Leadership{Leader: table.self.ID, Epoch: 1})
 	for n := range others {
 		_ = table.Heard(start, identityOf("a", n+1, 1), beatOf(time.Second))
 	}
@@ -121,7 +121,7 @@
 	require.Empty(t, leader.Targets(start))
 	require.LessOrEqual(t, float64(size-1)/leader.heartbeatPeriod().Seconds(), float64(leaderRate))
 	follower := NewTable(identityOf("a", 30, 1), DefaultTiming(), start)
-	follower.SetLeadership(Leadership{Leader: leader.self.ID, Epoch: 1})
+	follower.SetLeadership(start, Leadership{Leader: leader.self.ID, Epoch: 1})
 	for n := range size {
 		if n != 30 {
 			_ = follower.Heard(start, identityOf("a", n, 1), beatOf(time.Second))
@@ -145,3 +145,33 @@
 	apply(3, 1, host.StateLeaving)
 	require.Equal(t, host.StateLeaving, table.members[identityOf("a", 1, 0).ID].state)
 }
+
+func TestNewLeaderKeepsTheHostsThatWereListed(t *testing.T) {
+	table := NewTable(identityOf("a", 1, 1), DefaultTiming(), start)
+	table.SetLeadership(start, Leadership{Leader: identityOf("a", 0, 1).ID, Epoch: 1})
+	summary := Summary{Domain: "a", Stamp: Stamp{Epoch: 1, Sequence: 1}}
+	for n := range 20 {
+		summary.Hosts = append(summary.Hosts, HostSummary{Identity: identityOf("a", n, 1)})
+	}
+	table.Apply(SyncReply{Summaries: []Summary{summary}}, start)
+	now := start
+	advance := func(by time.Duration) {
+		for end := now.Add(by); now.Before(end); {
+			now = now.Add(time.Second)
+			table.Tick(now)
+		}
+	}
+	advance(15 * time.Second)
+	table.SetLeadership(now, Leadership{Leader: table.self.ID, Epoch: 2})
+	table.Tick(now)
+	require.Len(t, table.Candidates(), candidateCount)
+	advance(2 * time.Second)
+	for _, m := range table.members {
+		require.Equal(t, host.StateLive, m.state, m.identity.ID)
+	}
+	require.Len(t, table.Targets(now), 19, "probes the hosts that have not been heard")
+	advance(3 * time.Second)
+	for _, m := range table.members {
+		require.Equal(t, host.StateSuspect, m.state, m.identity.ID)
+	}
+}
--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -140,7 +140,7 @@
 // host should fetch from it.
 func (t *Table) NeedsSync(from host.Identity, beat Heartbeat) bool {
 	if from.FailureDomain == t.self.FailureDomain {
-		return beat.Speaker && beat.Known != t.Known()
+		return beat.Speaker && beat.Known != t.Known() || t.ownStamp().Less(beat.Own)
 	}
 	held := t.domain(from.FailureDomain).stamp
 	return beat.Speaker && t.Speaker() == t.self.ID && held.Less(beat.Own)
