Benchmark the messages of distribution

Cause: control traffic of a leader at 660 hosts has to be worked out from sizes. Change: BenchmarkMessages; DigestOfChunks is exported for it. The manifest has to be split.

--- a/internal/configuration/chunk.go
+++ b/internal/configuration/chunk.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return digestOfReferences(references(chunks))
+	return DigestOfChunks(references(chunks))
 }
 
 func references(chunks []Chunk) []ChunkReference {
@@ -115,7 +115,8 @@
 	return refs
 }
 
-func digestOfReferences(refs []ChunkReference) Digest {
+// DigestOfChunks returns the digest of the configuration that the chunks form.
+func DigestOfChunks(refs []ChunkReference) Digest {
 	hash := sha256.New()
 	for _, ref := range refs {
 		hash.Write([]byte{byte(ref.Kind)})
--- a/internal/configuration/chunk_bench_test.go
+++ b/internal/configuration/chunk_bench_test.go
@@ -51,7 +51,7 @@
 		}
 	}
 	refs := references(after)
-	root, err := (&Manifest{Digest: digestOfReferences(refs), Chunks: refs}).Encode()
+	root, err := (&Manifest{Digest: DigestOfChunks(refs), Chunks: refs}).Encode()
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/configuration/commit.go
+++ b/internal/configuration/commit.go
@@ -40,7 +40,7 @@
 		return 0, err
 	}
 	refs := references(chunks)
-	if current != nil && current.Revision > floor && current.Digest == digestOfReferences(refs) {
+	if current != nil && current.Revision > floor && current.Digest == DigestOfChunks(refs) {
 		return current.Revision, nil
 	}
 	if revisionOfRoot(current) != base {
--- a/internal/configuration/fuzz_test.go
+++ b/internal/configuration/fuzz_test.go
@@ -64,7 +64,7 @@
 		f.Add(chunk.Data)
 	}
 	refs := references(chunks)
-	manifest, err := (&Manifest{Revision: 1, Digest: digestOfReferences(refs), Chunks: refs}).Encode()
+	manifest, err := (&Manifest{Revision: 1, Digest: DigestOfChunks(refs), Chunks: refs}).Encode()
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/configuration/manifest.go
+++ b/internal/configuration/manifest.go
@@ -87,7 +87,7 @@
 
 // Check reports whether the digest matches the chunks.
 func (m *Manifest) Check() error {
-	if digestOfReferences(m.Chunks) != m.Digest {
+	if DigestOfChunks(m.Chunks) != m.Digest {
 		return &ChunkError{Digest: m.Digest, Reason: ChunkCorrupt}
 	}
 	return nil
@@ -120,7 +120,7 @@
 func (m *Manifest) next(id OperationID, floor Revision, refs []ChunkReference, now time.Time, plan collection) *Manifest {
 	next := &Manifest{
 		Revision: floor + 1,
-		Digest:   digestOfReferences(refs),
+		Digest:   DigestOfChunks(refs),
 		Chunks:   refs,
 		Garbage:  plan.keep,
 		SweptAt:  now,
--- /dev/null
+++ b/internal/distribution/bench_test.go
@@ -0,0 +1,47 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	"peridotrail/internal/configuration"
+	"peridotrail/internal/fleet"
+	"peridotrail/internal/platform"
+)
+
+// chunksAtSize is the number of chunks of 2.3 million client blocks.
+const chunksAtSize = 533
+
+func encodedSize(b *testing.B, message any) float64 {
+	data, err := fleet.Marshal(message)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(len(data))
+}
+
+// BenchmarkMessages reports the bytes of a question that finds nothing new, its
+// answer, and an offer at full size, and times the check of such an offer.
+func BenchmarkMessages(b *testing.B) {
+	versions := make([]Version, 10)
+	for i := range versions {
+		versions[i] = Version{Key: StatePrefix + "shifts/some-shift", Revision: 100_000 + platform.Revision(i)}
+	}
+	manifest := configuration.Manifest{Revision: 1000, Chunks: make([]configuration.ChunkReference, chunksAtSize)}
+	for i := range manifest.Chunks {
+		manifest.Chunks[i] = configuration.ChunkReference{Kind: configuration.ChunkBlocks, Size: 30_000}
+	}
+	manifest.Digest = configuration.DigestOfChunks(manifest.Chunks)
+	encoded, err := manifest.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := configuration.DecodeManifest(encoded); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(encodedSize(b, SyncRequest{Revision: 1000, Versions: versions}), "question-B")
+	b.ReportMetric(encodedSize(b, Offer{Contact: time.Second}), "answer-B")
+	b.ReportMetric(encodedSize(b, Offer{Contact: time.Second, Manifest: encoded}), "offer-B")
+}
