Split the manifest into index chunks

Cause: with one flat manifest a change sent about 85 KB to each host: 22 KB of manifest and a chunk of 63 KB. Change: the root names index chunks, which name content chunks; client blocks are cut every 1024 on average. diff and conflicts read only the chunks that differ from the folder. The first write of all blocks takes 2,200 calls of the store in place of 533.

--- a/internal/configuration/assemble.go
+++ b/internal/configuration/assemble.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"reflect"
+	"slices"
 )
 
 // Assembler keeps verified chunks and joins them into configurations. A chunk
@@ -13,9 +14,10 @@
 	interned *interner
 }
 
-// heldChunk is a verified chunk. One of objects and blocks is set.
+// heldChunk is a verified chunk. One of index, objects and blocks is set.
 type heldChunk struct {
 	data    []byte
+	index   []ChunkReference
 	objects *Configuration
 	blocks  *packedRun
 }
@@ -48,6 +50,8 @@
 	case ChunkObjects:
 		held.objects = &Configuration{}
 		err = json.Unmarshal(data, held.objects)
+	case ChunkIndex:
+		held.index, err = decodeIndex(data)
 	case ChunkBlocks:
 		held.blocks, err = decodeBlocks(data, a.interned)
 	default:
@@ -56,6 +60,19 @@
 	return held, err
 }
 
+func decodeIndex(data []byte) ([]ChunkReference, error) {
+	var refs []ChunkReference
+	if err := decodeMode.Unmarshal(data, &refs); err != nil {
+		return nil, err
+	}
+	for _, ref := range refs {
+		if ref.Kind == ChunkIndex {
+			return nil, &UnknownChunkKindError{Kind: ref.Kind}
+		}
+	}
+	return refs, nil
+}
+
 // Data returns the content of a chunk, or nil if it is not held.
 func (a *Assembler) Data(digest Digest) []byte {
 	if held := a.chunks[digest]; held != nil {
@@ -64,8 +81,33 @@
 	return nil
 }
 
-// Missing returns the references whose chunks are not held.
-func (a *Assembler) Missing(refs []ChunkReference) []ChunkReference {
+// Wanted returns the chunks of m that are not held, as far as they are known:
+// index chunks first. It is empty once the configuration can be assembled.
+func (a *Assembler) Wanted(m *Manifest) []ChunkReference {
+	if missing := a.missing(m.Index); len(missing) > 0 {
+		return missing
+	}
+	return a.missing(a.content(m))
+}
+
+// Named returns all chunks of m, index and content. All index chunks must be held.
+func (a *Assembler) Named(m *Manifest) []ChunkReference {
+	return slices.Concat(m.Index, a.content(m))
+}
+
+// content joins the index chunks that are held.
+func (a *Assembler) content(m *Manifest) []ChunkReference {
+	var refs []ChunkReference
+	for _, ref := range m.Index {
+		if held := a.chunks[ref.Digest]; held != nil {
+			refs = append(refs, held.index...)
+		}
+	}
+	return refs
+}
+
+// missing returns the references whose chunks are not held.
+func (a *Assembler) missing(refs []ChunkReference) []ChunkReference {
 	var missing []ChunkReference
 	for _, ref := range refs {
 		if a.chunks[ref.Digest] == nil {
@@ -86,9 +128,21 @@
 	a.chunks = kept
 }
 
-// Assemble joins the chunks in the order of refs. It fails with a *ChunkError if
-// one is missing.
-func (a *Assembler) Assemble(refs []ChunkReference) (*Configuration, error) {
+// Snapshot assembles the configuration of a manifest. It fails with a
+// *ChunkError if a chunk is missing.
+func (a *Assembler) Snapshot(m *Manifest) (*Snapshot, error) {
+	if wanted := a.Wanted(m); len(wanted) > 0 {
+		return nil, &ChunkError{Digest: wanted[0].Digest, Reason: ChunkMissing}
+	}
+	c, err := a.assemble(a.content(m))
+	if err != nil {
+		return nil, err
+	}
+	return newSnapshot(m.Revision, c, m.Digest), nil
+}
+
+// assemble joins content chunks in the order of refs.
+func (a *Assembler) assemble(refs []ChunkReference) (*Configuration, error) {
 	c := &Configuration{}
 	for _, ref := range refs {
 		held := a.chunks[ref.Digest]
@@ -97,8 +151,10 @@
 			return nil, &ChunkError{Digest: ref.Digest, Reason: ChunkMissing}
 		case held.blocks != nil:
 			c.packed = append(c.packed, held.blocks)
-		default:
+		case held.objects != nil:
 			c.appendObjects(held.objects)
+		default:
+			return nil, &ChunkError{Digest: ref.Digest, Reason: ChunkGarbled}
 		}
 	}
 	return c, nil
--- a/internal/configuration/chunk.go
+++ b/internal/configuration/chunk.go
@@ -2,10 +2,13 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/json"
 	"reflect"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
 )
 
 // ChunkKind says how a chunk is encoded.
@@ -15,6 +18,7 @@
 const (
 	ChunkObjects ChunkKind = iota + 1 // JSON of a Configuration that holds a run of one collection
 	ChunkBlocks                       // packed client blocks, sorted by prefix
+	ChunkIndex                        // references of content chunks
 )
 
 // Sizes of chunks. Boundaries follow from the content, so that a change of one
@@ -23,7 +27,9 @@
 	maxChunkBytes      = 768 << 10
 	maxRunBytes        = 512 << 10 // a run is cut when it is longer
 	meanObjectsInChunk = 64
-	meanBlocksInChunk  = 4096
+	meanBlocksInChunk  = 1024
+
+	meanReferencesInChunk = 64
 )
 
 // Chunk is one piece of an encoded configuration.
@@ -84,27 +90,63 @@
 	return nil
 }
 
+// Encoded is a configuration as chunks. The index chunks name the content
+// chunks, so that a change of one entry changes one of each.
+type Encoded struct {
+	Index   []Chunk
+	Content []Chunk
+}
+
+// All returns the content chunks and the index chunks.
+func (e Encoded) All() []Chunk { return slices.Concat(e.Content, e.Index) }
+
+// Digest identifies the configuration.
+func (e Encoded) Digest() Digest { return DigestOfChunks(references(e.Index)) }
+
 // Encode splits c into chunks. Equal configurations give equal chunks.
-func Encode(c *Configuration) ([]Chunk, error) {
-	chunks, err := encodeObjects(c)
+func Encode(c *Configuration) (Encoded, error) {
+	content, err := encodeObjects(c)
 	if err != nil {
-		return nil, err
+		return Encoded{}, err
 	}
 	blocks, err := encodeBlocks(c)
 	if err != nil {
-		return nil, err
+		return Encoded{}, err
 	}
-	return append(chunks, blocks...), nil
+	content = append(content, blocks...)
+	index, err := encodeIndex(references(content))
+	return Encoded{Index: index, Content: content}, err
 }
 
 // DigestOf returns the digest that identifies c. It panics if c holds a value
 // that has no encoding, which validation refuses.
 func DigestOf(c *Configuration) Digest {
-	chunks, err := Encode(c)
+	encoded, err := Encode(c)
 	if err != nil {
 		panic(err)
 	}
-	return DigestOfChunks(references(chunks))
+	return encoded.Digest()
+}
+
+// encodeIndex splits the list of content chunks.
+func encodeIndex(refs []ChunkReference) ([]Chunk, error) {
+	var chunks []Chunk
+	start := 0
+	for i, ref := range refs {
+		last := i == len(refs)-1
+		if !last && binary.BigEndian.Uint64(ref.Digest[:])%meanReferencesInChunk != 0 {
+			continue
+		}
+		data, err := cbor.Marshal(refs[start : i+1])
+		if err != nil {
+			return nil, &ChunkError{Reason: ChunkGarbled, Err: err}
+		}
+		if chunks, err = appendChunk(chunks, newChunk(ChunkIndex, data)); err != nil {
+			return nil, err
+		}
+		start = i + 1
+	}
+	return chunks, nil
 }
 
 func references(chunks []Chunk) []ChunkReference {
@@ -115,7 +157,7 @@
 	return refs
 }
 
-// DigestOfChunks returns the digest of the configuration that the chunks form.
+// DigestOfChunks returns the digest of the configuration with these index chunks.
 func DigestOfChunks(refs []ChunkReference) Digest {
 	hash := sha256.New()
 	for _, ref := range refs {
--- a/internal/configuration/commit.go
+++ b/internal/configuration/commit.go
@@ -31,7 +31,7 @@
 	if err := Validate(c); err != nil {
 		return 0, err
 	}
-	chunks, err := Encode(c)
+	encoded, err := Encode(c)
 	if err != nil {
 		return 0, err
 	}
@@ -39,27 +39,57 @@
 	if err != nil {
 		return 0, err
 	}
-	refs := references(chunks)
-	if current != nil && current.Revision > floor && current.Digest == DigestOfChunks(refs) {
+	if current != nil && current.Revision > floor && current.Digest == encoded.Digest() {
 		return current.Revision, nil
 	}
 	if revisionOfRoot(current) != base {
-		return 0, r.conflict(ctx, base, current, c)
+		return 0, r.conflict(ctx, base, current, encoded, c)
 	}
-	if err := r.writeChunks(ctx, current, chunks); err != nil {
-		return 0, err
-	}
-	revision, err := r.replaceRoot(ctx, current, expected, floor, refs)
-	if platform.IsKind(err, platform.KindConflict) {
+	revision, err := r.commit(ctx, root{manifest: current, revision: expected}, floor, encoded)
+	if platform.IsKind(err, platform.KindConflict) || isMissing(err) {
 		latest, _, rootErr := r.Root(ctx)
 		if rootErr != nil {
 			return 0, rootErr
 		}
-		return 0, r.conflict(ctx, base, latest, c)
+		if isMissing(err) && revisionOfRoot(latest) == base {
+			return 0, err // the store has lost a chunk of the current revision
+		}
+		return 0, r.conflict(ctx, base, latest, encoded, c)
 	}
 	return revision, err
 }
 
+// root is the root document with the store's revision of it.
+type root struct {
+	manifest *Manifest // nil if there is none
+	revision platform.Revision
+}
+
+// commit writes the chunks and replaces the root. It returns a store error of
+// KindConflict or a *ChunkError if another commit was first.
+func (r *Repository) commit(ctx context.Context, current root, floor Revision, encoded Encoded) (Revision, error) {
+	named, err := r.named(ctx, current.manifest, encoded.Index)
+	if err != nil {
+		return 0, err
+	}
+	if err := r.writeChunks(ctx, named, encoded.All()); err != nil {
+		return 0, err
+	}
+	stored := r.sweep(ctx, current.manifest)
+	now := r.config.Now()
+	plan := planCollection(current.manifest, named, references(encoded.All()), stored, now, r.config.GarbageGrace)
+	doomed, err := r.revisions(ctx, plan.remove)
+	if err != nil {
+		return 0, err
+	}
+	next := current.manifest.next(r.config.NewOperation(), floor, references(encoded.Index), now, plan)
+	if err := r.swapRoot(ctx, next, current.revision); err != nil {
+		return 0, err
+	}
+	r.remove(ctx, doomed)
+	return next.Revision, nil
+}
+
 func revisionOfRoot(m *Manifest) Revision {
 	if m == nil {
 		return 0
@@ -69,13 +99,13 @@
 
 // conflict describes what differs from the stored configuration. The difference
 // is left out if the stored configuration cannot be read.
-func (r *Repository) conflict(ctx context.Context, base Revision, current *Manifest, c *Configuration) error {
+func (r *Repository) conflict(ctx context.Context, base Revision, current *Manifest, encoded Encoded, c *Configuration) error {
 	conflict := &ConflictError{Base: base, Current: revisionOfRoot(current)}
 	if current == nil {
 		conflict.Difference = Compare(nil, c)
 		return conflict
 	}
-	if stored, err := r.snapshot(ctx, current); err == nil {
+	if stored, err := r.snapshot(ctx, current, encoded.All()); err == nil {
 		conflict.Difference = Compare(stored.Configuration, c)
 	}
 	return conflict
@@ -84,12 +114,10 @@
 // writeChunks writes the chunks that the current root does not name. A chunk
 // that the store already holds is written again, so that a garbage collection
 // that has chosen it fails to delete it.
-func (r *Repository) writeChunks(ctx context.Context, current *Manifest, chunks []Chunk) error {
-	named := map[Digest]bool{}
-	if current != nil {
-		for _, ref := range current.Chunks {
-			named[ref.Digest] = true
-		}
+func (r *Repository) writeChunks(ctx context.Context, current []ChunkReference, chunks []Chunk) error {
+	named := make(map[Digest]bool, len(current))
+	for _, ref := range current {
+		named[ref.Digest] = true
 	}
 	var fresh []Chunk
 	for _, chunk := range chunks {
@@ -122,24 +150,6 @@
 	})
 }
 
-// replaceRoot writes the next root over the one with the store revision
-// expected. It returns a store error of KindConflict if another commit was first.
-func (r *Repository) replaceRoot(ctx context.Context, current *Manifest, expected platform.Revision, floor Revision, refs []ChunkReference) (Revision, error) {
-	stored := r.sweep(ctx, current)
-	now := r.config.Now()
-	plan := planCollection(current, refs, stored, now, r.config.GarbageGrace)
-	doomed, err := r.revisions(ctx, plan.remove)
-	if err != nil {
-		return 0, err
-	}
-	next := current.next(r.config.NewOperation(), floor, refs, now, plan)
-	if err := r.swapRoot(ctx, next, expected); err != nil {
-		return 0, err
-	}
-	r.remove(ctx, doomed)
-	return next.Revision, nil
-}
-
 // swapRoot writes the root. After a lost answer it writes again with the same
 // expected revision, so that at most one of the attempts takes effect, and
 // recognises its own success by the operation ID.
--- a/internal/configuration/manifest.go
+++ b/internal/configuration/manifest.go
@@ -22,11 +22,11 @@
 // recognised and never applied twice.
 type OperationID string
 
-// Manifest is the root document: it names one revision and its chunks.
+// Manifest is the root document: it names one revision and its index chunks.
 type Manifest struct {
 	Revision Revision         `cbor:"1,keyasint"`
 	Digest   Digest           `cbor:"2,keyasint"`
-	Chunks   []ChunkReference `cbor:"3,keyasint"`
+	Index    []ChunkReference `cbor:"3,keyasint"`
 	History  []Operation      `cbor:"4,keyasint"`           // newest first; History[0] made this revision
 	Garbage  []Garbage        `cbor:"5,keyasint,omitempty"` // chunks that no revision since names
 	SweptAt  time.Time        `cbor:"6,keyasint"`           // last search for chunks of failed commits
@@ -85,9 +85,14 @@
 	return &m, nil
 }
 
-// Check reports whether the digest matches the chunks.
+// Check reports whether the digest matches the index chunks.
 func (m *Manifest) Check() error {
-	if DigestOfChunks(m.Chunks) != m.Digest {
+	for _, ref := range m.Index {
+		if ref.Kind != ChunkIndex {
+			return &UnknownChunkKindError{Kind: ref.Kind}
+		}
+	}
+	if DigestOfChunks(m.Index) != m.Digest {
 		return &ChunkError{Digest: m.Digest, Reason: ChunkCorrupt}
 	}
 	return nil
@@ -113,15 +118,15 @@
 
 // historyLength bounds how many later commits may come before an operator whose
 // answer was lost looks again.
-const historyLength = 64
+const historyLength = 32
 
 // next returns the manifest that follows m, which is nil before the first. Its
 // revision is greater than those of m and floor.
-func (m *Manifest) next(id OperationID, floor Revision, refs []ChunkReference, now time.Time, plan collection) *Manifest {
+func (m *Manifest) next(id OperationID, floor Revision, index []ChunkReference, now time.Time, plan collection) *Manifest {
 	next := &Manifest{
 		Revision: floor + 1,
-		Digest:   DigestOfChunks(refs),
-		Chunks:   refs,
+		Digest:   DigestOfChunks(index),
+		Index:    index,
 		Garbage:  plan.keep,
 		SweptAt:  now,
 	}
@@ -146,9 +151,10 @@
 }
 
 // planCollection decides which chunks become garbage with a root that names
-// refs and which have been garbage for longer than grace. Stored lists the
-// chunks of the store if it was searched, and is nil otherwise.
-func planCollection(current *Manifest, refs []ChunkReference, stored []Digest, now time.Time, grace time.Duration) collection {
+// refs and which have been garbage for longer than grace. Dropped lists the
+// chunks that the current root names, stored those of the store if it was
+// searched and is nil otherwise.
+func planCollection(current *Manifest, dropped, refs []ChunkReference, stored []Digest, now time.Time, grace time.Duration) collection {
 	plan := collection{swept: stored != nil}
 	known := make(map[Digest]bool, len(refs))
 	for _, ref := range refs {
@@ -169,9 +175,9 @@
 		for _, garbage := range current.Garbage {
 			add(garbage)
 		}
-		for _, ref := range current.Chunks {
-			add(Garbage{Digest: ref.Digest, Since: now})
-		}
+	}
+	for _, ref := range dropped {
+		add(Garbage{Digest: ref.Digest, Since: now})
 	}
 	for _, digest := range stored {
 		add(Garbage{Digest: digest, Since: now})
--- a/internal/configuration/repository.go
+++ b/internal/configuration/repository.go
@@ -133,12 +133,26 @@
 
 // Load returns the stored configuration, or nil if there is none.
 func (r *Repository) Load(ctx context.Context) (*Snapshot, error) {
+	return r.LoadLike(ctx, nil)
+}
+
+// LoadLike is Load for a caller that holds a similar configuration: only chunks
+// that differ are read. Similar may be nil.
+func (r *Repository) LoadLike(ctx context.Context, similar *Configuration) (*Snapshot, error) {
+	var known []Chunk
+	if similar != nil {
+		encoded, err := Encode(similar)
+		if err != nil {
+			return nil, err
+		}
+		known = encoded.All()
+	}
 	for {
 		manifest, _, err := r.Root(ctx)
 		if err != nil || manifest == nil {
 			return nil, err
 		}
-		snapshot, err := r.snapshot(ctx, manifest)
+		snapshot, err := r.snapshot(ctx, manifest, known)
 		if !isMissing(err) {
 			return snapshot, err
 		}
@@ -149,30 +163,64 @@
 	}
 }
 
-func (r *Repository) snapshot(ctx context.Context, manifest *Manifest) (*Snapshot, error) {
-	assembler := NewAssembler()
-	data := make([][]byte, len(manifest.Chunks))
-	err := r.each(ctx, len(manifest.Chunks), func(ctx context.Context, i int) (err error) {
-		data[i], err = r.Chunk(ctx, manifest.Chunks[i])
-		return err
-	})
+// snapshot assembles the configuration of a manifest from known chunks and those
+// of the store.
+func (r *Repository) snapshot(ctx context.Context, manifest *Manifest, known []Chunk) (*Snapshot, error) {
+	assembler, err := newAssemblerWith(known)
 	if err != nil {
 		return nil, err
 	}
-	for i, ref := range manifest.Chunks {
-		if err := assembler.Add(ref, data[i]); err != nil {
+	for {
+		wanted := assembler.Wanted(manifest)
+		if len(wanted) == 0 {
+			return assembler.Snapshot(manifest)
+		}
+		if err := r.fetch(ctx, assembler, wanted); err != nil {
 			return nil, err
 		}
 	}
-	return assembler.Snapshot(manifest)
 }
 
-// Snapshot assembles the configuration of a manifest. It fails with a
-// *ChunkError if a chunk is missing.
-func (a *Assembler) Snapshot(manifest *Manifest) (*Snapshot, error) {
-	c, err := a.Assemble(manifest.Chunks)
+// named returns all chunks that the manifest names, index and content. The
+// manifest may be nil.
+func (r *Repository) named(ctx context.Context, manifest *Manifest, known []Chunk) ([]ChunkReference, error) {
+	if manifest == nil {
+		return nil, nil
+	}
+	assembler, err := newAssemblerWith(known)
 	if err != nil {
 		return nil, err
 	}
-	return newSnapshot(manifest.Revision, c, manifest.Digest), nil
+	if err := r.fetch(ctx, assembler, assembler.missing(manifest.Index)); err != nil {
+		return nil, err
+	}
+	return assembler.Named(manifest), nil
+}
+
+func newAssemblerWith(known []Chunk) (*Assembler, error) {
+	assembler := NewAssembler()
+	for _, chunk := range known {
+		if err := assembler.Add(chunk.Reference, chunk.Data); err != nil {
+			return nil, err
+		}
+	}
+	return assembler, nil
+}
+
+// fetch reads chunks of the store into the assembler.
+func (r *Repository) fetch(ctx context.Context, assembler *Assembler, refs []ChunkReference) error {
+	data := make([][]byte, len(refs))
+	err := r.each(ctx, len(refs), func(ctx context.Context, i int) (err error) {
+		data[i], err = r.Chunk(ctx, refs[i])
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	for i, ref := range refs {
+		if err := assembler.Add(ref, data[i]); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"peridotrail/internal/configuration"
+	"peridotrail/internal/platform"
 )
 
 func (a *App) checkCommand() *cli.Command {
@@ -87,7 +88,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Duration(flagTimeout))
 	defer cancel()
-	stored, err := configuration.NewRepository(configuration.RepositoryConfig{Store: store}).Load(ctx)
+	stored, err := configuration.NewRepository(repositoryConfig(store)).LoadLike(ctx, loaded)
 	if err != nil {
 		return err
 	}
@@ -155,6 +156,14 @@
 	}
 }
 
+// chunksPerSecond bounds the calls for chunks of this tool. Applying 2.3 million
+// client blocks for the first time takes about 11 s.
+const chunksPerSecond = 200
+
+func repositoryConfig(store platform.Store) configuration.RepositoryConfig {
+	return configuration.RepositoryConfig{Store: store, ChunksPerSecond: chunksPerSecond}
+}
+
 // applyOutput is the answer of apply and of commands that apply.
 type applyOutput struct {
 	Revision  configuration.Revision `json:"revision"`
@@ -191,7 +200,7 @@
 	if err != nil {
 		return applyOutput{}, err
 	}
-	repository := configuration.NewRepository(configuration.RepositoryConfig{Store: store})
+	repository := configuration.NewRepository(repositoryConfig(store))
 	floor := configuration.Revision(c.Uint64(flagAbove))
 	revision, err := repository.CommitAbove(ctx, seen.Revision, floor, loaded)
 	if err != nil {
--- a/internal/distribution/intake.go
+++ b/internal/distribution/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/go-kit/log/level"
 
@@ -102,9 +103,10 @@
 // publish makes the chunks available to peers. Those of the previous revision
 // are kept, because a peer may be fetching them.
 func (in *intake) publish(p proposal) {
-	retained := append(append([]configuration.ChunkReference{}, p.manifest.Chunks...), in.current...)
+	named := in.assembler.Named(p.manifest)
+	retained := slices.Concat(named, in.current)
 	in.assembler.Retain(retained)
-	in.current = p.manifest.Chunks
+	in.current = named
 	chunks := make(map[configuration.Digest][]byte, len(retained))
 	for _, ref := range retained {
 		if data := in.assembler.Data(ref.Digest); data != nil {
@@ -116,9 +118,12 @@
 
 // fetch adds the chunks that the assembler lacks and returns the bytes received.
 func (in *intake) fetch(ctx context.Context, p proposal) (int, error) {
-	missing := in.assembler.Missing(p.manifest.Chunks)
 	total := 0
-	for len(missing) > 0 {
+	for {
+		missing := in.assembler.Wanted(p.manifest)
+		if len(missing) == 0 {
+			return total, nil
+		}
 		data, err := in.fetchSome(ctx, p.from, missing)
 		if err != nil {
 			return total, err
@@ -129,9 +134,7 @@
 			}
 			total += len(chunk)
 		}
-		missing = missing[len(data):]
 	}
-	return total, nil
 }
 
 // fetchSome returns the data of the leading references, at least of one.
