Read the known peers at most every 50 ms

Cause: a contended Acquire read the members and built their free slots anew. Change: Dispatcher keeps the last answer of Options.Peers for 50 ms. Tested: go test ./internal/upstream. Conclusion: the cost of a contended Acquire no longer grows with its rate times the number of hosts.

--- a/internal/upstream/dispatcher.go
+++ b/internal/upstream/dispatcher.go
@@ -37,6 +37,7 @@
 	plan    atomic.Pointer[plan]
 	wake    chan struct{}
 	leaving atomic.Bool
+	peers   peerCache
 }
 
 // plan is the immutable view of one configuration.
--- a/internal/upstream/duty.go
+++ b/internal/upstream/duty.go
@@ -60,7 +60,7 @@
 func (d *Dispatcher) askPeers(ctx context.Context) {
 	now := d.now()
 	current := d.current()
-	peers := d.options.Peers()
+	peers := d.currentPeers(now)
 	for service, l := range current.lanes {
 		if !l.needsRoom() {
 			continue
@@ -100,7 +100,8 @@
 
 // reach returns the round trip to the nearest peer that may have room, or zero.
 func (d *Dispatcher) reach(service string) time.Duration {
-	found := d.candidates(d.plan.Load().source, d.options.Peers(), service, d.now())
+	now := d.now()
+	found := d.candidates(d.plan.Load().source, d.currentPeers(now), service, now)
 	if len(found) == 0 {
 		return 0
 	}
@@ -109,7 +110,7 @@
 
 // crossRegion reports whether a host is in another region than this one.
 func (d *Dispatcher) crossRegion(id host.ID) bool {
-	for _, peer := range d.options.Peers() {
+	for _, peer := range d.currentPeers(d.now()) {
 		if peer.Identity.ID == id {
 			return peer.Identity.Region != d.options.Self.Region
 		}
@@ -123,7 +124,7 @@
 		return
 	}
 	hosts := 1
-	for _, peer := range d.options.Peers() {
+	for _, peer := range d.currentPeers(d.now()) {
 		if peer.Identity.Region == d.options.Self.Region && peer.State != host.StateGone {
 			hosts++
 		}
--- a/internal/upstream/peers.go
+++ b/internal/upstream/peers.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"peridotrail/internal/host"
@@ -174,3 +176,35 @@
 func (p *pool) wanted() int {
 	return min(p.queue.len(), p.queue.limit) + p.holder.InUse()
 }
+
+// peersMaxAge is the age at which the known peers are read again.
+const peersMaxAge = 50 * time.Millisecond
+
+// peerCache keeps the last answer of Options.Peers, which may be costly.
+type peerCache struct {
+	mu      sync.Mutex // held while the peers are read
+	current atomic.Pointer[peerList]
+}
+
+type peerList struct {
+	peers []Peer
+	read  time.Time
+}
+
+// currentPeers returns the known peers. Only one goroutine reads them anew; the
+// others go on with the last answer.
+func (d *Dispatcher) currentPeers(now time.Time) []Peer {
+	list := d.peers.current.Load()
+	if list != nil && now.Sub(list.read) < peersMaxAge {
+		return list.peers
+	}
+	if list == nil {
+		d.peers.mu.Lock()
+	} else if !d.peers.mu.TryLock() {
+		return list.peers
+	}
+	defer d.peers.mu.Unlock()
+	fresh := &peerList{peers: d.options.Peers(), read: now}
+	d.peers.current.Store(fresh)
+	return fresh.peers
+}
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -72,7 +72,7 @@
 	if current.source == nil {
 		return nil
 	}
-	peers := d.options.Peers()
+	peers := d.currentPeers(d.now())
 	var results []LoadReport
 	var mu sync.Mutex
 	var running sync.WaitGroup
@@ -178,7 +178,7 @@
 	defer cancel()
 	var sending sync.WaitGroup
 	slots := make(chan struct{}, reportsShareLimit)
-	for _, peer := range d.options.Peers() {
+	for _, peer := range d.currentPeers(d.now()) {
 		if peer.State != host.StateLive || peer.Identity.FailureDomain != d.options.Self.FailureDomain {
 			continue
 		}
