Add emulated links between hosts of one process

Cause: failure tests and the measure command need delays and partitions between failure domains over real sockets.

--- /dev/null
+++ b/internal/standin/network/link.go
@@ -0,0 +1,55 @@
+package network
+
+import (
+	"fmt"
+	"time"
+)
+
+// packet is one datagram on its way.
+type packet struct {
+	data []byte
+	due  time.Time
+	from *Port
+	to   *Port
+}
+
+// link carries packets from one port to another in order.
+type link struct {
+	packets chan packet
+}
+
+// send drops the packet if the link is full.
+func (l *link) send(p packet) {
+	select {
+	case l.packets <- p:
+	default:
+	}
+}
+
+func (l *link) run(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case p := <-l.packets:
+			if wait := time.Until(p.due); wait > 0 {
+				time.Sleep(wait)
+			}
+			_, _ = p.from.public.WriteToUDPAddrPort(p.data, p.to.private) // a datagram may be lost
+		}
+	}
+}
+
+// PortError reports a port that could not be opened.
+type PortError struct {
+	Domain string
+	Err    error
+}
+
+// Error implements error.
+func (e *PortError) Error() string {
+	return fmt.Sprintf("open a port for failure domain %s: %v", e.Domain, e.Err)
+}
+
+// Unwrap returns the underlying failure.
+func (e *PortError) Unwrap() error { return e.Err }
