--- a/cmd/peridotraild/main.go
+++ b/cmd/peridotraild/main.go
@@ -1,4 +1,37 @@
-// Command peridotraild is part of peridotrail.
+// Command peridotraild is the daemon of one entry host.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "peridotraild:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "peridotraild",
+		Usage: "run one entry host",
+		Description: "Exit codes: 0 after a graceful shutdown, 1 when the host failed,\n" +
+			"2 when the settings are invalid.",
+		Commands: []*cli.Command{serveCommand(), checkCommand(), quickstartCommand()},
+	}
+}
--- /dev/null
+++ b/cmd/peridotraild/quickstart.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"peridotrail/internal/observe"
+	"peridotrail/internal/quickstart"
+)
+
+func quickstartCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "quickstart",
+		Usage: "run a store stand-in, upstream stand-ins and three hosts on loopback",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "log", Value: "warn", Usage: "lowest level of the log lines on standard error"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return quickstart.Run(ctx, quickstart.Options{
+				Out:    os.Stdout,
+				Logger: observe.NewLogger(os.Stderr, c.String("log")),
+			})
+		},
+	}
+}
--- /dev/null
+++ b/cmd/peridotraild/serve.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/urfave/cli/v3"
+
+	"peridotrail/internal/configuration"
+	"peridotrail/internal/daemon"
+	"peridotrail/internal/fleet/keys"
+	"peridotrail/internal/invariant"
+	"peridotrail/internal/observe"
+	"peridotrail/internal/platform/httpstore"
+	"peridotrail/internal/settings"
+)
+
+const reloadPeriod = 30 * time.Second
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:     "settings",
+		Usage:    "settings file in JSON with comments",
+		Sources:  cli.EnvVars("PERIDOTRAIL_SETTINGS"),
+		Required: true,
+	}
+}
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run the host until SIGTERM or SIGINT, then shut down gracefully",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := settings.Load(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return serve(ctx, s)
+		},
+	}
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check a settings file and exit",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if _, err := settings.Load(c.String("settings")); err != nil {
+				return err
+			}
+			fmt.Println("settings are valid")
+			return nil
+		},
+	}
+}
+
+// serve runs one host until ctx ends or a duty fails.
+func serve(ctx context.Context, s settings.Settings) error {
+	logger := observe.NewLogger(os.Stderr, s.Log.Level)
+	tls := s.Fleet.TLS
+	files, err := keys.Load(keys.Paths{Certificate: tls.Certificate, Key: tls.Key, Authorities: tls.CA})
+	if err != nil {
+		return err
+	}
+	registry := observe.NewRegistry()
+	invariant.SetHandler(observe.ViolationHandler(logger, registry))
+	h, err := daemon.Start(daemon.Options{
+		Settings: s,
+		Store:    httpstore.New(s.Platform.Endpoints, httpstore.WithCaller(s.Host.ID, s.Host.FailureDomain)),
+		Keys:     files,
+		Logger:   logger,
+		Metrics:  registry,
+	})
+	if err != nil {
+		return err
+	}
+	go reloadKeys(ctx, files, logger)
+	select {
+	case <-ctx.Done():
+	case <-h.Failed():
+		h.Kill()
+		return h.Wait()
+	}
+	grace, cancel := context.WithTimeout(context.Background(), s.Shutdown.Grace.Std())
+	defer cancel()
+	return h.Shutdown(grace)
+}
+
+// reloadKeys reads certificates again until ctx ends, so that they can be
+// replaced without a restart.
+func reloadKeys(ctx context.Context, files *keys.Files, logger log.Logger) {
+	ticker := time.NewTicker(reloadPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if err := files.Reload(); err != nil {
+				_ = level.Error(logger).Log("event", "certificates not reloaded", "err", err)
+			}
+		}
+	}
+}
+
+func exitCode(err error) int {
+	var invalid *configuration.InvalidError
+	if errors.As(err, &invalid) {
+		return exitSettings
+	}
+	return exitFailed
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,12 +4,9 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
-	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
 	"peridotrail/internal/configuration"
@@ -26,8 +23,8 @@
 	Settings settings.Settings
 	Store    platform.Store
 	Keys     keys.Source
-	Logger   log.Logger
-	Metrics  metrics.Registry
+	Logger   log.Logger       // nil logs nothing
+	Metrics  metrics.Registry // nil counts in a private registry
 	// Filter reports whether packets to and from another host are carried. Nil
 	// carries all. Tests cut links with it.
 	Filter func(peer netip.AddrPort) bool
@@ -35,21 +32,20 @@
 
 // Host is one running entry host.
 type Host struct {
-	options  Options
-	self     host.Identity
-	logger   log.Logger
-	group    *duty.Group
-	stop     context.CancelFunc
-	inForce  *configuration.InForce
-	fleet    *fleet.Transport
-	front    *front
-	admin    *admin
-	state    *state
-	capacity *capacity
+	options   Options
+	logger    log.Logger
+	self      host.Identity
+	listeners listeners
+	transport *fleet.Transport
+	inForce   *configuration.InForce
+	state     *state
+	front     *front
+	admin     *adminServer
+	group     *duty.Group
 }
 
 // Start opens the listeners of a host and starts its duties. A port of zero in
-// the settings is replaced by a free one.
+// the settings is replaced by a free one. The error is a *ListenError.
 func Start(options Options) (*Host, error) {
 	if options.Metrics == nil {
 		options.Metrics = metrics.NewRegistry()
@@ -57,12 +53,47 @@
 	if options.Logger == nil {
 		options.Logger = log.NewNopLogger()
 	}
-	h := &Host{options: options, inForce: configuration.NewInForce()}
+	h := &Host{
+		options: options,
+		logger:  log.With(options.Logger, "host", options.Settings.Host.ID),
+		inForce: configuration.NewInForce(),
+	}
 	if err := h.listen(); err != nil {
-		h.closeListeners()
+		h.listeners.close()
 		return nil, err
 	}
-	h.wire()
+	h.state = newState(h)
+	h.front = newFront(h)
+	h.admin = newAdminServer(h)
 	h.run()
 	return h, nil
 }
+
+// Self returns the identity of this process.
+func (h *Host) Self() host.Identity { return h.self }
+
+// AdminAddress returns the address of the API for operators.
+func (h *Host) AdminAddress() netip.AddrPort {
+	return withPort(h.options.Settings.Admin.Listen, h.listeners.admin)
+}
+
+// Metrics returns the registry of this host's metrics.
+func (h *Host) Metrics() metrics.Registry { return h.options.Metrics }
+
+// Revision returns the configuration revision in force; zero before the first.
+func (h *Host) Revision() configuration.Revision { return h.inForce.Revision() }
+
+// Failed ends when a duty has ended early; Wait then tells which.
+func (h *Host) Failed() <-chan struct{} { return h.group.Context().Done() }
+
+// Wait returns when all duties have ended. The error tells which duty ended
+// early; it is nil after Shutdown or Kill.
+func (h *Host) Wait() error { return h.group.Wait() }
+
+func (h *Host) run() {
+	h.group = duty.NewGroup(context.Background(), duty.GroupOptions{Logger: h.logger, Metrics: h.options.Metrics})
+	h.group.GoUnwatched("fleet", h.transport.Run)
+	h.state.run(h.group)
+	h.front.run(h.group)
+	h.admin.run(h.group)
+}
--- /dev/null
+++ b/internal/daemon/front.go
@@ -0,0 +1,119 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"peridotrail/internal/api"
+	"peridotrail/internal/clientaccount"
+	"peridotrail/internal/configuration"
+	"peridotrail/internal/duty"
+	"peridotrail/internal/entry"
+	"peridotrail/internal/entry/forward"
+	"peridotrail/internal/fleet/relay"
+	"peridotrail/internal/host"
+	"peridotrail/internal/steering"
+	"peridotrail/internal/upstream"
+)
+
+// front is the side of a host towards callers and upstreams.
+type front struct {
+	host       *Host
+	dispatcher *upstream.Dispatcher
+	lookups    *steering.Service
+	active     *clientaccount.Active
+	door       *entry.FrontDoor
+	server     *entry.Server
+}
+
+func newFront(h *Host) *front {
+	f := &front{host: h, active: clientaccount.NewActive()}
+	f.dispatcher = upstream.New(upstream.Options{
+		Self:          h.self,
+		Configuration: h.configuration,
+		Capacity:      h.state.capacity,
+		Transports:    transports{relay: &relay.Client{Streams: h.transport}},
+		Peers:         h.state.peers,
+		Caller:        h.transport,
+		Metrics:       h.options.Metrics,
+	})
+	f.dispatcher.Register(h.transport)
+	h.state.attach(f.dispatcher)
+	f.lookups = steering.New(steering.Options{
+		Self:          h.self,
+		Configuration: h.inForce.Current,
+		Hosts:         h.state.steeringHosts,
+		Documents:     h.state.distributor.State().List,
+		Metrics:       h.options.Metrics,
+	})
+	f.door = entry.New(entry.Options{
+		Self:       h.self,
+		Policy:     entry.SnapshotPolicy(h.inForce.Current),
+		Active:     f.active,
+		Admitter:   h.state.admitter,
+		Dispatcher: entry.UpstreamDispatcher(f.dispatcher),
+		API:        f.api(),
+		Logger:     h.logger,
+		AccessLog:  h.options.Settings.Log.Level == "debug",
+		Metrics:    h.options.Metrics,
+	})
+	relays := &relay.Server{Handler: f.door.RelayHandler(), Logger: h.logger, Metrics: h.options.Metrics}
+	relays.Register(h.transport)
+	f.server = entry.NewServer(f.door)
+	return f
+}
+
+// api serves the paths below /v1/ that callers use.
+func (f *front) api() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(api.LookupPath, f.lookups)
+	return mux
+}
+
+func (f *front) run(group *duty.Group) {
+	group.GoUnwatched("dispatcher", f.dispatcher.Run)
+	group.GoUnwatched("probes", f.dispatcher.RunProbes)
+	group.GoUnwatched("look-ups", f.lookups.Run)
+	group.GoUnwatched("key-withdrawal", f.withdrawKeys)
+	group.GoUnwatched("entry", func(ctx context.Context) error {
+		return f.server.Serve(f.host.listeners.entry)
+	})
+}
+
+// withdrawKeys ends the requests of keys that the configuration holds no more.
+func (f *front) withdrawKeys(ctx context.Context) error {
+	enforcer := &clientaccount.Enforcer{
+		Active:  f.active,
+		InForce: clientaccount.SnapshotKeys(f.host.inForce.Current),
+	}
+	enforcer.Run(ctx)
+	return nil
+}
+
+// configuration returns the configuration in force, nil before the first.
+func (h *Host) configuration() *configuration.Configuration {
+	snapshot := h.inForce.Current()
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.Configuration
+}
+
+// transports builds what permits send requests with.
+type transports struct {
+	relay *relay.Client
+}
+
+// Upstream implements upstream.TransportFactory.
+func (t transports) Upstream(_ configuration.Upstream, limit func() int) http.RoundTripper {
+	return forward.NewTransport(limit)
+}
+
+// Peer implements upstream.TransportFactory.
+func (t transports) Peer(peer host.Identity) http.RoundTripper {
+	return t.relay.Transport(peer.Fleet, relay.Metadata{})
+}
+
+// localSlots is used for the status page.
+func (f *front) load(now time.Time) []upstream.Load { return f.dispatcher.Loads() }
--- /dev/null
+++ b/internal/daemon/shutdown.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// Shutdown ends the host gracefully: look-ups stop naming it, then it takes no
+// new work, and requests that run are answered whole. Its shares and its
+// leadership go back to the failure domain. Requests that have not ended when
+// ctx ends are cut, which is reported as a *GraceError.
+func (h *Host) Shutdown(ctx context.Context) error {
+	_ = level.Info(h.logger).Log("event", "shutdown started", "active", h.front.active.Count())
+	h.state.announce(ctx)
+	h.front.dispatcher.Leave()
+	h.front.server.Quiesce()
+	wait(ctx, h.options.Settings.Shutdown.Notice.Std())
+	err := h.front.drain(ctx)
+	h.state.handOver(ctx)
+	h.end()
+	if err != nil {
+		err = &GraceError{Active: h.front.active.Count(), Err: err}
+	}
+	_ = level.Info(h.logger).Log("event", "shutdown ended", "err", err)
+	return err
+}
+
+// Kill ends the host at once and cuts what runs, as the end of its process
+// would.
+func (h *Host) Kill() {
+	_ = h.front.server.Close() // cuts all connections
+	h.end()
+}
+
+// end stops the duties and closes everything that is left.
+func (h *Host) end() {
+	_ = h.front.server.Close()
+	_ = h.admin.http.Close()
+	h.group.Stop()
+	_ = h.group.Wait() // an early end has been logged by the group
+	h.listeners.close()
+}
+
+// drain waits for the requests of callers and for relayed ones.
+func (f *front) drain(ctx context.Context) error {
+	if err := f.server.Shutdown(ctx); err != nil {
+		return err
+	}
+	for f.inUse() > 0 {
+		if err := wait(ctx, drainPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const drainPoll = 20 * time.Millisecond
+
+func (f *front) inUse() int {
+	sum := 0
+	for _, load := range f.dispatcher.Loads() {
+		sum += load.InUse
+	}
+	return sum
+}
+
+// wait returns nil after d, or the error of ctx if that ends first.
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -20,7 +20,7 @@
 	},
 	"admin": {"listen": "127.0.0.1:9090"},
 	"platform": {"endpoints": ["http://127.0.0.1:2379"]},
-	"shutdown": {"grace": "5s"},
+	"shutdown": {"notice": "1s", "grace": "5s"},
 }`
 
 func TestParseFillsInDefaults(t *testing.T) {
@@ -64,6 +64,7 @@
 		{4, "fleet.tls.key", configuration.CodeMissing},
 		{5, "platform.endpoints[0]", configuration.CodeFormat},
 		{6, "log.level", configuration.CodeFormat},
+		{7, "shutdown.notice", configuration.CodeRange},
 		{7, "shutdown.grace", configuration.CodeRange},
 	}, places)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,6 +70,10 @@
 
 // Shutdown bounds a graceful shutdown.
 type Shutdown struct {
+	// Notice is how long the host goes on accepting requests after it has
+	// announced that it leaves, for callers that use an earlier look-up answer.
+	Notice configuration.Duration `json:"notice"`
+	// Grace bounds the whole shutdown, Notice included.
 	Grace configuration.Duration `json:"grace"`
 }
 
@@ -97,7 +101,8 @@
 }
 
 const (
-	defaultGrace          = 30 * time.Second
+	defaultNotice         = 12 * time.Second
+	defaultGrace          = 45 * time.Second
 	defaultMaxConnections = 20000
 	defaultMaxHeaderBytes = 32 << 10
 	defaultStaleKeyAfter  = 5 * time.Minute
@@ -108,7 +113,7 @@
 func Default() Settings {
 	return Settings{
 		Log:      Log{Level: defaultLogLevel},
-		Shutdown: Shutdown{Grace: configuration.Duration(defaultGrace)},
+		Shutdown: Shutdown{Notice: configuration.Duration(defaultNotice), Grace: configuration.Duration(defaultGrace)},
 		Limits:   Limits{MaxConnections: defaultMaxConnections, MaxHeaderBytes: defaultMaxHeaderBytes},
 		StaleKey: StaleKey{Policy: StaleKeyServe, After: configuration.Duration(defaultStaleKeyAfter)},
 	}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -74,6 +74,8 @@
 
 func (v *validator) limits(s Settings) {
 	v.check(validLevel(s.Log.Level), "log.level", configuration.CodeFormat, "%q is not one of debug, info, warn, error", s.Log.Level)
+	v.check(s.Shutdown.Notice >= 0, "shutdown.notice", configuration.CodeRange, "the duration must not be negative")
+	v.check(s.Shutdown.Notice < s.Shutdown.Grace, "shutdown.notice", configuration.CodeRange, "the notice must be shorter than the grace period %s", s.Shutdown.Grace.Std())
 	v.check(s.Shutdown.Grace > 0, "shutdown.grace", configuration.CodeRange, "the duration must be positive")
 	v.check(s.Limits.MaxConnections > 0, "limits.maxConnections", configuration.CodeRange, "the number must be positive")
 	v.check(s.Limits.MaxHeaderBytes > 0, "limits.maxHeaderBytes", configuration.CodeRange, "the number of bytes must be positive")
