--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -31,12 +31,13 @@
 }
 
 func (a *adminServer) run(group *duty.Group) {
-	group.GoUnwatched("admin", func(context.Context) error {
+	group.GoUnwatched("admin", func(ctx context.Context) error {
 		err := a.http.Serve(a.host.listeners.admin)
-		if err == http.ErrServerClosed {
-			return nil
+		if err != http.ErrServerClosed {
+			return err
 		}
-		return err
+		<-ctx.Done() // end closes the server before the group
+		return nil
 	})
 }
 
--- a/internal/daemon/front.go
+++ b/internal/daemon/front.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"peridotrail/internal/api"
 	"peridotrail/internal/clientaccount"
@@ -77,7 +76,11 @@
 	group.GoUnwatched("look-ups", f.lookups.Run)
 	group.GoUnwatched("key-withdrawal", f.withdrawKeys)
 	group.GoUnwatched("entry", func(ctx context.Context) error {
-		return f.server.Serve(f.host.listeners.entry)
+		if err := f.server.Serve(f.host.listeners.entry); err != nil {
+			return err
+		}
+		<-ctx.Done() // a graceful shutdown ends Serve before the group
+		return nil
 	})
 }
 
@@ -114,6 +117,3 @@
 func (t transports) Peer(peer host.Identity) http.RoundTripper {
 	return t.relay.Transport(peer.Fleet, relay.Metadata{})
 }
-
-// localSlots is used for the status page.
-func (f *front) load(now time.Time) []upstream.Load { return f.dispatcher.Loads() }
--- a/internal/quickstart/quickstart.go
+++ b/internal/quickstart/quickstart.go
@@ -31,7 +31,7 @@
 	storeOffset   = 0   // ports, counted from the base port
 	entryOffset   = 100 // of the first host
 	fleetOffset   = 200
-	adminOffset   = 300
+	adminOffset   = 400
 	readyTimeout  = 30 * time.Second
 	readyPoll     = 50 * time.Millisecond
 	shutdownGrace = 10 * time.Second
