--- a/test/measure/baseline.go
+++ b/test/measure/baseline.go
@@ -228,7 +228,9 @@
 }
 
 // Error implements error.
-func (e *baselineRateError) Error() string { return "rate of client account " + e.account + " exceeded" }
+func (e *baselineRateError) Error() string {
+	return "rate of client account " + e.account + " exceeded"
+}
 
 // After implements entry.RateError.
 func (e *baselineRateError) After() time.Duration { return time.Second }
--- a/test/measure/worker.go
+++ b/test/measure/worker.go
@@ -86,8 +86,6 @@
 	w.frozen.Store(&present)
 }
 
-func (w *worker) thaw() { w.frozen.Store(nil) }
-
 func (w *worker) report(rw http.ResponseWriter, _ *http.Request) {
 	answer := w.currentLoad()
 	if frozen := w.frozen.Load(); frozen != nil {
