--- a/test/measure/fleet.go
+++ b/test/measure/fleet.go
@@ -47,6 +47,8 @@
 	private netip.AddrPort
 	port    *network.Port
 	daemon  *daemon.Host
+	// reserved keeps the private port until the host first starts.
+	reserved *net.UDPConn
 }
 
 // NotReadyError reports a fleet that did not put its configuration in force.
@@ -86,28 +88,19 @@
 }
 
 func (f *fleet) join(name, domain string) error {
-	private, err := freeUDPPort()
+	reserved, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return err
 	}
+	private := reserved.LocalAddr().(*net.UDPAddr).AddrPort()
 	port, err := f.network.Join(domain, private)
 	if err != nil {
 		return err
 	}
-	f.hosts = append(f.hosts, &fleetHost{name: name, domain: domain, private: private, port: port})
+	f.hosts = append(f.hosts, &fleetHost{name: name, domain: domain, private: private, port: port, reserved: reserved})
 	return nil
 }
 
-// freeUDPPort returns a port that was free a moment ago.
-func freeUDPPort() (netip.AddrPort, error) {
-	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer socket.Close()
-	return socket.LocalAddr().(*net.UDPAddr).AddrPort(), nil
-}
-
 func (f *fleet) publishHosts() {
 	var records []platform.HostRecord
 	for _, h := range f.hosts {
@@ -128,6 +121,7 @@
 	s.Fleet.Listen = h.private
 	s.Fleet.Advertise = h.port.Address()
 	s.Shutdown.Grace = configuration.Duration(shutdownGrace)
+	_ = h.reserved.Close() // again on a restart, without effect
 	started, err := daemon.Start(daemon.Options{
 		Settings: s,
 		Store:    f.store.Client(store.Caller{Host: h.name, FailureDomain: h.domain}),
--- a/test/measure/workload.go
+++ b/test/measure/workload.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -55,6 +57,7 @@
 			})
 		}
 	}
+	slices.SortFunc(all, func(a, b arrival) int { return cmp.Compare(a.due, b.due) })
 	return all
 }
 
