Look up client blocks of distributed configurations

Cause: the look-up table was built from Configuration.ClientBlocks, which is empty on a host, where blocks are packed. Change: build the table from Blocks; Configuration.SharesBlocks tells whether it must be built anew. Tested: the new test failed before (no lansing host first) and passes now.

--- a/internal/configuration/blocks.go
+++ b/internal/configuration/blocks.go
@@ -273,6 +273,19 @@
 	}
 }
 
+// SharesBlocks reports whether c and other hold their client blocks in the same
+// memory, so that the blocks are certainly equal. Configurations that one
+// Assembler made share the blocks that did not change.
+func (c *Configuration) SharesBlocks(other *Configuration) bool {
+	if len(c.ClientBlocks) != len(other.ClientBlocks) {
+		return false
+	}
+	if len(c.ClientBlocks) > 0 && &c.ClientBlocks[0] != &other.ClientBlocks[0] {
+		return false
+	}
+	return slices.Equal(c.packed, other.packed)
+}
+
 // sortedBlocks returns the client blocks sorted by prefix.
 func (c *Configuration) sortedBlocks() []ClientBlock {
 	blocks := c.ClientBlocks
--- a/internal/configuration/chunk_test.go
+++ b/internal/configuration/chunk_test.go
@@ -117,3 +117,15 @@
 	}
 	require.Equal(t, references(encoded.Content), assembler.Wanted(manifest))
 }
+
+func TestSharesBlocks(t *testing.T) {
+	c := syntheticBlocks(5_000)
+	require.True(t, c.SharesBlocks(c))
+	require.False(t, c.SharesBlocks(syntheticBlocks(5_000)), "equal blocks in other memory may differ")
+
+	before, err := Encode(c)
+	require.NoError(t, err)
+	assembled := assembleFrom(t, before)
+	require.False(t, assembled.SharesBlocks(c))
+	require.True(t, assembled.SharesBlocks(assembled))
+}
--- a/internal/steering/handler.go
+++ b/internal/steering/handler.go
@@ -86,22 +86,14 @@
 	if snapshot == nil {
 		return
 	}
-	if s.source == nil || !sameBlocks(s.source.ClientBlocks, snapshot.ClientBlocks) {
-		s.table = NewTable(snapshot.ClientBlocks)
+	if s.source == nil || !s.source.SharesBlocks(snapshot.Configuration) {
+		s.table = NewTableOf(snapshot.Blocks())
 	}
 	s.source = snapshot
 	shifts := ReadShifts(s.options.Documents(ShiftPrefix))
 	s.picture.Store(NewPicture(snapshot, s.table, s.options.Self, s.options.Hosts(), shifts))
 }
 
-// sameBlocks reports whether both slices are the same memory.
-func sameBlocks(a, b []configuration.ClientBlock) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	return len(a) == 0 || &a[0] == &b[0]
-}
-
 // ServeHTTP implements GET /v1/entry-hosts.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	answer, refusal := s.answer(r)
--- /dev/null
+++ b/internal/steering/handler_test.go
@@ -0,0 +1,37 @@
+package steering
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"peridotrail/internal/api"
+	"peridotrail/internal/configuration"
+	"peridotrail/internal/distribution"
+	"peridotrail/internal/standin/store"
+)
+
+// A host holds client blocks in the packed form of an assembled configuration.
+func TestServiceFindsTheBlocksOfADistributedConfiguration(t *testing.T) {
+	repository := configuration.NewRepository(configuration.RepositoryConfig{Store: store.New()})
+	_, err := repository.Commit(t.Context(), 0, testSnapshot(nil).Configuration)
+	require.NoError(t, err)
+	snapshot, err := repository.Load(t.Context())
+	require.NoError(t, err)
+	hosts := testHosts()
+	s := New(Options{
+		Self:          hosts[0].Identity,
+		Configuration: func() *configuration.Snapshot { return snapshot },
+		Hosts:         func() []Host { return hosts },
+		Documents:     func(string) []distribution.Document { return nil },
+	})
+	s.Refresh()
+	recorder := httptest.NewRecorder()
+	s.ServeHTTP(recorder, httptest.NewRequest("GET", "/v1/entry-hosts?service=booking-desk&client=10.9.0.1", nil))
+
+	var answer api.LookupAnswer
+	require.NoError(t, json.Unmarshal(recorder.Body.Bytes(), &answer))
+	require.Equal(t, "lansing", answer.Hosts[0].FailureDomain)
+}
