Divide client accounts among failure domains through the store

Cause: the rate of an account must hold over failure domains that can be cut off. Change: documents of accounts in the store, written by compare-and-swap with operation ids; floors that only their domain reduces, extra shares with the term of the domain's record, ended by raising its generation; promises of all peers extend them while the store is down; lowering shrinks first. Model test over three domains with lost, late and refused writes, stale reads and partitions. The model found one fault mended here: a write whose answer was lost was forgotten when its repetition was refused. Conclusion: both levels are usable by their runtime.

--- a/internal/allotment/domain.go
+++ b/internal/allotment/domain.go
@@ -44,7 +44,11 @@
 	sequence uint64 // newest grant to any holder; a holder that returns sees no sequence twice
 	holders  map[holderKey]*holder
 	wholes   map[Resource]Share
-	adopted  map[Resource]Share // sum of the shares that former leaders granted
+	assured  map[Resource]Share    // part of the whole that has no end
+	adopted  map[Resource]Share    // sum of the shares that former leaders granted
+	fenced   map[Resource]struct{} // former leaders cannot change the domain's share any more
+	end      time.Time             // end of the right to what exceeds the assured shares
+	beyond   bool                  // live shares may exceed the assured ones
 	rules    rules
 }
 
@@ -59,7 +63,9 @@
 		fresh:   fresh,
 		holders: map[holderKey]*holder{},
 		wholes:  map[Resource]Share{},
+		assured: map[Resource]Share{},
 		adopted: map[Resource]Share{},
+		fenced:  map[Resource]struct{}{},
 	}
 }
 
@@ -71,17 +77,36 @@
 	if d.fresh || d.rules.openWithoutWait {
 		return true
 	}
-	return now.Sub(d.start) >= d.terms.silence(r)
+	_, fenced := d.fenced[r]
+	return fenced && now.Sub(d.start) >= d.terms.silence(r)
 }
 
-// SetWhole changes what the domain may use of a resource. A smaller whole takes
-// effect at the next Divide, and is in effect once InEffect says so.
-func (d *DomainAllotment) SetWhole(r Resource, whole Share) {
+// Fence records that no former leader can change the domain's share of r any more.
+// Until then nothing beyond the reported shares is given out.
+func (d *DomainAllotment) Fence(r Resource) { d.fenced[r] = struct{}{} }
+
+// SetWhole changes what the domain may use of a resource. The part above assured
+// may be used until the end given to SetEnd. A smaller whole takes effect at the
+// next Divide, and is in effect once InEffect says so.
+func (d *DomainAllotment) SetWhole(r Resource, whole, assured Share) {
 	if whole.IsZero() {
 		delete(d.wholes, r)
-		return
+	} else {
+		d.wholes[r] = whole
+	}
+	if assured.IsZero() {
+		delete(d.assured, r)
+	} else {
+		d.assured[r] = assured
+	}
+}
+
+// SetEnd sets the end of the right to use more than the assured shares. It never
+// moves back.
+func (d *DomainAllotment) SetEnd(end time.Time) {
+	if end.After(d.end) {
+		d.end = end
 	}
-	d.wholes[r] = whole
 }
 
 // Whole returns what the domain may use of a resource.
@@ -136,9 +161,8 @@
 	return total
 }
 
-// Renew processes a host's request. Limit is the longest term that the answer may
-// give; the leader lowers it when its own right ends sooner.
-func (d *DomainAllotment) Renew(now time.Time, from host.Identity, request RenewRequest, limit time.Duration) RenewResponse {
+// Renew processes a host's request.
+func (d *DomainAllotment) Renew(now time.Time, from host.Identity, request RenewRequest) RenewResponse {
 	answer := RenewResponse{Epoch: d.epoch, Request: request.Sequence}
 	key := holderKey{id: from.ID, incarnation: from.Incarnation}
 	h := d.holders[key]
@@ -155,13 +179,21 @@
 		h.process(request)
 	}
 	answer.Sequence = h.sequence
-	answer.Term = max(min(d.terms.Term, limit), 0)
+	answer.Term = d.term(now)
 	answer.Reset = request.Full
 	answer.Grants = h.changes(request.Applied, request.Full)
 	slices.SortFunc(answer.Grants, func(a, b Grant) int { return cmp.Compare(a.Resource, b.Resource) })
 	return answer
 }
 
+// term returns the longest term that an answer may give.
+func (d *DomainAllotment) term(now time.Time) time.Duration {
+	if !d.beyond || d.rules.ignoreEnd {
+		return d.terms.Term
+	}
+	return max(min(d.terms.Term, d.end.Sub(now)), 0)
+}
+
 // admit adds a process that this leader does not know. While shares of former
 // leaders may be live, it keeps the ones that it reports; later they are over.
 func (d *DomainAllotment) admit(now time.Time, key holderKey, request RenewRequest) *holder {
@@ -173,6 +205,7 @@
 		if report.Share.IsZero() || d.Open(now, report.Resource) && !d.rules.openWithoutWait {
 			continue
 		}
+		d.beyond = true
 		e := h.entry(report.Resource)
 		e.confirmed = report.Share
 		e.sequence = h.sequence
@@ -212,11 +245,20 @@
 func (d *DomainAllotment) Divide(now time.Time) {
 	d.forget(now)
 	keys := d.activeHolders(now)
+	d.beyond = false
 	for _, r := range d.Resources() {
 		d.divide(now, r, keys)
+		d.beyond = d.beyond || d.exceeds(now, r)
 	}
 }
 
+// exceeds reports whether the live shares of an account are more than assured.
+// Upstreams belong to the domain and have no end.
+func (d *DomainAllotment) exceeds(now time.Time, r Resource) bool {
+	_, account := r.Account()
+	return account && !d.live(now, r).Within(d.assured[r])
+}
+
 func (d *DomainAllotment) forget(now time.Time) {
 	for key, h := range d.holders {
 		if d.expired(now, h) {
--- /dev/null
+++ b/internal/allotment/domainrecord.go
@@ -0,0 +1,185 @@
+package allotment
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"peridotrail/internal/platform"
+)
+
+// DomainKey returns the store key of a failure domain's record.
+func DomainKey(domain string) string { return domainsPrefix + domain }
+
+// DomainOfKey returns the failure domain whose record has the given key, or false.
+func DomainOfKey(key string) (string, bool) { return strings.CutPrefix(key, domainsPrefix) }
+
+// DomainRecord is renewed by a domain's leader. The domain's extra shares of its
+// generation end when the record is not renewed for the domain's term.
+type DomainRecord struct {
+	Epoch      uint64 `cbor:"1,keyasint"`
+	Sequence   uint64 `cbor:"2,keyasint"`
+	Generation uint64 `cbor:"3,keyasint"` // raised by a domain that ends the extra shares
+	Operation  string `cbor:"4,keyasint"` // names the write
+	// Peers are the domains whose leaders may end the extra shares.
+	Peers []string `cbor:"5,keyasint,omitempty"`
+	// Returned says that no process of the domain holds a share.
+	Returned bool `cbor:"6,keyasint,omitempty"`
+}
+
+// DecodeDomainRecord reads a store value.
+func DecodeDomainRecord(key string, value []byte) (DomainRecord, error) {
+	var r DomainRecord
+	if err := cbor.Unmarshal(value, &r); err != nil {
+		return r, &DecodeError{Key: key, Err: err}
+	}
+	return r, nil
+}
+
+// Encode returns the store value.
+func (r *DomainRecord) Encode() ([]byte, error) {
+	value, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode domain record")
+	}
+	return value, nil
+}
+
+// DomainTerm renews the record of the leader's own domain and knows how long the
+// extra shares of the domain may be used.
+type DomainTerm struct {
+	domain   string
+	epoch    uint64
+	term     time.Duration
+	loaded   bool
+	record   DomainRecord
+	revision platform.Revision
+	until    time.Time
+	pending  *pendingRecord
+	stale    bool // a newer leader renewed the record
+}
+
+type pendingRecord struct {
+	record DomainRecord
+	sent   time.Time
+	write  platform.Write
+	lost   bool // an answer was lost; a later refusal does not settle the write
+}
+
+// NewDomainTerm returns the term of a leader that has not seen the record.
+func NewDomainTerm(domain string, epoch uint64, term time.Duration) *DomainTerm {
+	return &DomainTerm{domain: domain, epoch: epoch, term: term}
+}
+
+// Loaded reports whether the record has been read.
+func (t *DomainTerm) Loaded() bool { return t.loaded }
+
+// Fresh reports whether the domain's processes surely hold no share: there never
+// was a record, or a former leader wrote that all came back.
+func (t *DomainTerm) Fresh() bool { return t.loaded && (t.revision == 0 || t.record.Returned) }
+
+// Owned reports whether the record names this leader's epoch.
+func (t *DomainTerm) Owned() bool { return t.loaded && t.revision != 0 && t.record.Epoch == t.epoch }
+
+// Stale reports whether a newer leader of the domain renewed the record.
+func (t *DomainTerm) Stale() bool { return t.stale }
+
+// Generation returns the generation of the record.
+func (t *DomainTerm) Generation() uint64 { return t.record.Generation }
+
+// Until returns the end of the right to the extra shares.
+func (t *DomainTerm) Until() time.Time { return t.until }
+
+// Peers returns the domains whose leaders may end the extra shares: those of the
+// newest record seen and of a write whose outcome is unknown.
+func (t *DomainTerm) Peers() []string {
+	peers := slices.Clone(t.record.Peers)
+	if t.pending != nil {
+		peers = append(peers, t.pending.record.Peers...)
+	}
+	slices.Sort(peers)
+	return slices.Compact(peers)
+}
+
+// Promised extends the right to the extra shares because the leaders of all Peers
+// promised at or after asked not to end them for their term.
+func (t *DomainTerm) Promised(asked time.Time, term time.Duration) {
+	t.extend(asked.Add(term))
+}
+
+func (t *DomainTerm) extend(until time.Time) {
+	if until.After(t.until) {
+		t.until = until
+	}
+}
+
+// Observe takes an entry that was read from the store. It recognises an own write
+// whose answer was lost.
+func (t *DomainTerm) Observe(entry platform.Entry) error {
+	if t.loaded && entry.Revision <= t.revision {
+		return nil
+	}
+	var record DomainRecord
+	if entry.Exists() {
+		decoded, err := DecodeDomainRecord(entry.Key, entry.Value)
+		if err != nil {
+			return err
+		}
+		record = decoded
+	}
+	t.loaded = true
+	t.stale = t.stale || record.Epoch > t.epoch
+	if record.Generation != t.record.Generation {
+		t.until = time.Time{}
+	}
+	t.record, t.revision = record, entry.Revision
+	if t.pending != nil && t.pending.record.Operation == record.Operation && !t.stale {
+		t.extend(t.pending.sent.Add(t.term))
+	}
+	t.pending = nil
+	return nil
+}
+
+// Renew returns the next write of the record. Returned says that no process of
+// the domain holds a share any more.
+func (t *DomainTerm) Renew(now time.Time, peers []string, operation string, returned bool) (platform.Write, bool) {
+	if !t.loaded || t.stale {
+		return platform.Write{}, false
+	}
+	if t.pending != nil {
+		return t.pending.write, true
+	}
+	next := DomainRecord{
+		Epoch:      t.epoch,
+		Sequence:   t.record.Sequence + 1,
+		Generation: t.record.Generation,
+		Operation:  operation,
+		Peers:      slices.Clone(peers),
+		Returned:   returned,
+	}
+	value, err := next.Encode()
+	if err != nil {
+		return platform.Write{}, false
+	}
+	write := platform.Write{Key: DomainKey(t.domain), Value: value, Expected: t.revision}
+	t.pending = &pendingRecord{record: next, sent: now, write: write}
+	return write, true
+}
+
+// Finish takes the outcome of a write that Renew returned.
+func (t *DomainTerm) Finish(entry platform.Entry, err error) error {
+	if err == nil || platform.IsKind(err, platform.KindConflict) {
+		return t.Observe(entry)
+	}
+	if t.pending == nil {
+		return nil
+	}
+	t.pending.lost = t.pending.lost || platform.IsKind(err, platform.KindUnknownOutcome)
+	if !t.pending.lost {
+		t.pending = nil
+	}
+	return nil
+}
--- a/internal/allotment/rules.go
+++ b/internal/allotment/rules.go
@@ -10,5 +10,8 @@
 	reclaimWithoutWait bool // shares of silent holders are given again at once
 	growBeforeConfirm  bool // a reduced share is given again before its holder confirmed
 	openWithoutWait    bool // a new leader gives out unreported shares at once
+	ignoreEnd          bool // renewals outlast the domain's right to its extra share
+	reclaimUnfenced    bool // extra shares are reclaimed without waiting for their term
+	ignoreLostWrite    bool // a reduction whose answer was lost counts as not done
 	lowerWithoutShrink bool // a lower rate counts as in force before all shrank
 }
