--- a/internal/configuration/repository.go
+++ b/internal/configuration/repository.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"peridotrail/internal/platform"
 )
 
@@ -27,13 +29,13 @@
 // configuration again is safe.
 type OutcomeError struct {
 	Operation OperationID
-	Base      Revision
+	Revision  Revision // that the commit would have made
 	Err       error
 }
 
 // Error implements error.
 func (e *OutcomeError) Error() string {
-	return fmt.Sprintf("the commit on revision %d may have taken effect: %v", e.Base, e.Err)
+	return fmt.Sprintf("the commit of revision %d may have taken effect: %v", e.Revision, e.Err)
 }
 
 // Unwrap returns the underlying failure.
@@ -44,6 +46,8 @@
 	DefaultGarbageGrace  = time.Hour
 	DefaultSweepInterval = 24 * time.Hour
 	DefaultParallel      = 4
+	DefaultChunkRate     = 100 // calls per second
+	chunkBurst           = 50  // calls
 )
 
 // RepositoryConfig holds the dependencies of a Repository.
@@ -55,11 +59,15 @@
 	GarbageGrace  time.Duration // age at which an unused chunk is deleted
 	SweepInterval time.Duration // time between searches for chunks of failed commits
 	Parallel      int           // chunks read or written at the same time
+	// ChunksPerSecond bounds the calls for chunks, so that a first configuration
+	// leaves the store room for others. A few dozen chunks go without a wait.
+	ChunksPerSecond float64
 }
 
 // Repository keeps the configuration in the platform's store.
 type Repository struct {
 	config RepositoryConfig
+	pace   *rate.Limiter // of calls for chunks
 }
 
 // NewRepository returns a repository. Zero fields of config take their defaults.
@@ -79,7 +87,13 @@
 	if config.Parallel == 0 {
 		config.Parallel = DefaultParallel
 	}
-	return &Repository{config: config}
+	if config.ChunksPerSecond == 0 {
+		config.ChunksPerSecond = DefaultChunkRate
+	}
+	return &Repository{
+		config: config,
+		pace:   rate.NewLimiter(rate.Limit(config.ChunksPerSecond), chunkBurst),
+	}
 }
 
 // Root returns the root document with the store's revision of it. The manifest
@@ -100,6 +114,9 @@
 // Chunk returns the data of a chunk. It fails with a *ChunkError if the store
 // does not hold it, which means that a newer root has replaced the one read.
 func (r *Repository) Chunk(ctx context.Context, ref ChunkReference) ([]byte, error) {
+	if err := r.pace.Wait(ctx); err != nil {
+		return nil, &platform.Error{Kind: platform.KindUnavailable, Op: "get", Key: ChunkKey(ref.Digest), Err: err}
+	}
 	var entry platform.Entry
 	err := retry(ctx, func() (err error) {
 		entry, err = r.config.Store.Get(ctx, ChunkKey(ref.Digest))
@@ -116,12 +133,26 @@
 
 // Load returns the stored configuration, or nil if there is none.
 func (r *Repository) Load(ctx context.Context) (*Snapshot, error) {
+	return r.LoadLike(ctx, nil)
+}
+
+// LoadLike is Load for a caller that holds a similar configuration: only chunks
+// that differ are read. Similar may be nil.
+func (r *Repository) LoadLike(ctx context.Context, similar *Configuration) (*Snapshot, error) {
+	var known []Chunk
+	if similar != nil {
+		encoded, err := Encode(similar)
+		if err != nil {
+			return nil, err
+		}
+		known = encoded.All()
+	}
 	for {
 		manifest, _, err := r.Root(ctx)
 		if err != nil || manifest == nil {
 			return nil, err
 		}
-		snapshot, err := r.snapshot(ctx, manifest)
+		snapshot, err := r.snapshot(ctx, manifest, known)
 		if !isMissing(err) {
 			return snapshot, err
 		}
@@ -132,30 +163,64 @@
 	}
 }
 
-func (r *Repository) snapshot(ctx context.Context, manifest *Manifest) (*Snapshot, error) {
-	assembler := NewAssembler()
-	data := make([][]byte, len(manifest.Chunks))
-	err := r.each(ctx, len(manifest.Chunks), func(ctx context.Context, i int) (err error) {
-		data[i], err = r.Chunk(ctx, manifest.Chunks[i])
-		return err
-	})
+// snapshot assembles the configuration of a manifest from known chunks and those
+// of the store.
+func (r *Repository) snapshot(ctx context.Context, manifest *Manifest, known []Chunk) (*Snapshot, error) {
+	assembler, err := newAssemblerWith(known)
 	if err != nil {
 		return nil, err
 	}
-	for i, ref := range manifest.Chunks {
-		if err := assembler.Add(ref, data[i]); err != nil {
+	for {
+		wanted := assembler.Wanted(manifest)
+		if len(wanted) == 0 {
+			return assembler.Snapshot(manifest)
+		}
+		if err := r.fetch(ctx, assembler, wanted); err != nil {
 			return nil, err
 		}
 	}
-	return assembler.Snapshot(manifest)
 }
 
-// Snapshot assembles the configuration of a manifest. It fails with a
-// *ChunkError if a chunk is missing.
-func (a *Assembler) Snapshot(manifest *Manifest) (*Snapshot, error) {
-	c, err := a.Assemble(manifest.Chunks)
+// named returns all chunks that the manifest names, index and content. The
+// manifest may be nil.
+func (r *Repository) named(ctx context.Context, manifest *Manifest, known []Chunk) ([]ChunkReference, error) {
+	if manifest == nil {
+		return nil, nil
+	}
+	assembler, err := newAssemblerWith(known)
 	if err != nil {
 		return nil, err
 	}
-	return newSnapshot(manifest.Revision, c, manifest.Digest), nil
+	if err := r.fetch(ctx, assembler, assembler.missing(manifest.Index)); err != nil {
+		return nil, err
+	}
+	return assembler.Named(manifest), nil
+}
+
+func newAssemblerWith(known []Chunk) (*Assembler, error) {
+	assembler := NewAssembler()
+	for _, chunk := range known {
+		if err := assembler.Add(chunk.Reference, chunk.Data); err != nil {
+			return nil, err
+		}
+	}
+	return assembler, nil
+}
+
+// fetch reads chunks of the store into the assembler.
+func (r *Repository) fetch(ctx context.Context, assembler *Assembler, refs []ChunkReference) error {
+	data := make([][]byte, len(refs))
+	err := r.each(ctx, len(refs), func(ctx context.Context, i int) (err error) {
+		data[i], err = r.Chunk(ctx, refs[i])
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	for i, ref := range refs {
+		if err := assembler.Add(ref, data[i]); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/internal/configuration/repository_test.go
+++ b/internal/configuration/repository_test.go
@@ -133,20 +133,21 @@
 		require.NoError(t, err)
 		return len(entries)
 	}
-	require.Equal(t, 2, chunksAfter(0, regionsOf("a")))
+	const perRevision = 2 // a content chunk and an index chunk
+	require.Equal(t, 1+perRevision, chunksAfter(0, regionsOf("a")), "with the orphan")
 	old, _, err := r.Root(ctx)
 	require.NoError(t, err)
-	require.Equal(t, 3, chunksAfter(1, regionsOf("b")))
-	_, err = r.snapshot(ctx, old)
+	require.Equal(t, 1+2*perRevision, chunksAfter(1, regionsOf("b")))
+	_, err = r.snapshot(ctx, old, nil)
 	require.NoError(t, err, "a reader of the older root still finds its chunks")
 	now = now.Add(DefaultGarbageGrace + time.Second)
-	require.Equal(t, 3, chunksAfter(2, regionsOf("c")), "chunk a is gone")
-	_, err = r.snapshot(ctx, old)
+	require.Equal(t, 1+2*perRevision, chunksAfter(2, regionsOf("c")), "a is gone")
+	_, err = r.snapshot(ctx, old, nil)
 	require.True(t, isMissing(err))
 	now = now.Add(DefaultSweepInterval)
-	require.Equal(t, 3, chunksAfter(3, regionsOf("d")), "b is gone; the orphan is found")
+	require.Equal(t, 1+2*perRevision, chunksAfter(3, regionsOf("d")), "b is gone; the orphan is found")
 	now = now.Add(DefaultGarbageGrace + time.Second)
-	require.Equal(t, 2, chunksAfter(4, regionsOf("e")), "c and the orphan are gone, d waits")
+	require.Equal(t, 2*perRevision, chunksAfter(4, regionsOf("e")), "c and the orphan are gone, d waits")
 	loaded, err := r.Load(ctx)
 	require.NoError(t, err)
 	require.Equal(t, Revision(5), loaded.Revision)
@@ -156,11 +157,28 @@
 	now := time.Unix(1_000_000, 0)
 	chunk := newChunk(ChunkObjects, []byte("x"))
 	current := &Manifest{Garbage: []Garbage{{Digest: chunk.Reference.Digest, Since: now.Add(-2 * time.Hour)}}}
-	plan := planCollection(current, []ChunkReference{chunk.Reference}, nil, now, time.Hour)
+	plan := planCollection(current, nil, []ChunkReference{chunk.Reference}, nil, now, time.Hour)
 	require.Empty(t, plan.remove)
 	require.Empty(t, plan.keep)
 }
 
+func TestCommitAboveARevisionThatTheStoreHasLost(t *testing.T) {
+	ctx := t.Context()
+	r := NewRepository(RepositoryConfig{Store: store.New()})
+	revision, err := r.CommitAbove(ctx, 0, 50, regionsOf("a"))
+	require.NoError(t, err)
+	require.Equal(t, Revision(51), revision)
+	revision, err = r.CommitAbove(ctx, 51, 60, regionsOf("a"))
+	require.NoError(t, err)
+	require.Equal(t, Revision(61), revision, "the same content in a greater revision")
+	revision, err = r.CommitAbove(ctx, 61, 60, regionsOf("a"))
+	require.NoError(t, err)
+	require.Equal(t, Revision(61), revision)
+	revision, err = r.Commit(ctx, 61, regionsOf("b"))
+	require.NoError(t, err)
+	require.Equal(t, Revision(62), revision)
+}
+
 // operator commits what it last saw with one more region.
 type operator struct {
 	repository *Repository
