--- a/internal/steering/handler_test.go
+++ b/internal/steering/handler_test.go
@@ -16,7 +16,9 @@
 // A host holds client blocks in the packed form of an assembled configuration.
 func TestServiceFindsTheBlocksOfADistributedConfiguration(t *testing.T) {
 	repository := configuration.NewRepository(configuration.RepositoryConfig{Store: store.New()})
-	_, err := repository.Commit(t.Context(), 0, testSnapshot(nil).Configuration)
+	_, err := repository.Commit(t.Context(), 0, testSnapshot(func(c *configuration.Configuration) {
+		c.Regions = []configuration.Region{{Name: "ontario"}, {Name: "michigan"}}
+	}).Configuration)
 	require.NoError(t, err)
 	snapshot, err := repository.Load(t.Context())
 	require.NoError(t, err)
