--- a/internal/quickstart/guide.go
+++ b/internal/quickstart/guide.go
@@ -25,7 +25,7 @@
 `
 
 func (f *Fleet) printGuide() {
-	entry := fmt.Sprintf("http://%s", f.hosts[0].Self().Entry)
-	admin := fmt.Sprintf("http://%s", f.hosts[0].AdminAddress())
-	fmt.Fprintf(f.options.Out, guide, len(f.hosts), len(f.upstreams), f.endpoint, entry, admin, f.options.Folder)
+	entry := fmt.Sprintf("http://%s", f.hosts.Host(0).Self().Entry)
+	admin := fmt.Sprintf("http://%s", f.hosts.Host(0).AdminAddress())
+	fmt.Fprintf(f.options.Out, guide, f.hosts.Len(), len(f.upstreams), f.endpoint, entry, admin, f.options.Folder)
 }
--- a/internal/quickstart/quickstart.go
+++ b/internal/quickstart/quickstart.go
@@ -15,25 +15,16 @@
 	"github.com/go-kit/log"
 
 	"peridotrail/internal/configuration"
-	"peridotrail/internal/daemon"
-	"peridotrail/internal/fleet/keys"
-	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
-	"peridotrail/internal/platform/httpstore"
-	"peridotrail/internal/settings"
-	"peridotrail/internal/standin/store"
+	"peridotrail/internal/localfleet"
 	standin "peridotrail/internal/standin/upstream"
 )
 
 const (
 	serviceTime   = 20 * time.Millisecond
 	upstreamQueue = 16
-	storeOffset   = 0   // ports, counted from the base port
-	entryOffset   = 100 // of the first host
-	fleetOffset   = 200
-	adminOffset   = 400
+	entryOffset   = 100 // entry port of the first host, counted from the base port
+	adminOffset   = 400 // admin port of the first host, counted from the base port
 	readyTimeout  = 30 * time.Second
-	readyPoll     = 50 * time.Millisecond
 	shutdownGrace = 10 * time.Second
 	notice        = 500 * time.Millisecond
 )
@@ -46,22 +37,13 @@
 	BasePort uint16 // first port of the store and the hosts
 }
 
-// NotReadyError reports a host that had no configuration in force in time.
-type NotReadyError struct {
-	Host host.ID
-}
-
-// Error implements error.
-func (e *NotReadyError) Error() string { return fmt.Sprintf("host %s did not become ready", e.Host) }
-
 // Fleet is a running quick start.
 type Fleet struct {
 	options   Options
-	store     *store.Store
 	http      *http.Server
 	endpoint  string
 	upstreams []*standin.Upstream
-	hosts     []*daemon.Host
+	hosts     *localfleet.Fleet
 }
 
 // Run starts the fleet, prints commands to try, and ends it gracefully when ctx
@@ -83,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{options: options, store: store.New()}
+	f := &Fleet{options: options}
 	if err := f.start(ctx, c); err != nil {
 		_ = f.Stop() // the first failure is the one to report
 		return nil, err
@@ -92,33 +74,46 @@
 }
 
 func (f *Fleet) start(ctx context.Context, c *configuration.Configuration) error {
-	if err := f.startStore(); err != nil {
-		return err
-	}
 	if err := f.startUpstreams(c); err != nil {
 		return err
 	}
-	repository := configuration.NewRepository(configuration.RepositoryConfig{Store: f.store})
-	if _, err := repository.Commit(ctx, 0, c); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	var err error
+	if f.hosts, err = f.startHosts(ctx, c); err != nil {
 		return err
 	}
-	if err := f.startHosts(c); err != nil {
+	if err := f.startStore(); err != nil {
 		return err
 	}
-	return f.waitReady(ctx)
+	return f.hosts.WaitReady(ctx)
 }
 
-func (f *Fleet) address(offset, i int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), f.options.BasePort+uint16(offset+i))
+func (f *Fleet) startHosts(ctx context.Context, c *configuration.Configuration) (*localfleet.Fleet, error) {
+	var domains []string
+	for _, domain := range c.FailureDomains {
+		domains = append(domains, domain.Name)
+	}
+	return localfleet.Start(ctx, localfleet.Options{
+		Configuration: c,
+		Domains:       domains,
+		Notice:        notice,
+		Grace:         shutdownGrace,
+		Logger:        f.options.Logger,
+		Port: func(i int) (entry, admin uint16) {
+			return f.options.BasePort + entryOffset + uint16(i), f.options.BasePort + adminOffset + uint16(i)
+		},
+	})
 }
 
 func (f *Fleet) startStore() error {
-	listener, err := net.Listen("tcp", f.address(storeOffset, 0).String())
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), f.options.BasePort)
+	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return err
 	}
 	f.endpoint = "http://" + listener.Addr().String()
-	f.http = &http.Server{Handler: f.store}
+	f.http = &http.Server{Handler: f.hosts.Store}
 	go func() { _ = f.http.Serve(listener) }() // ends with Close
 	return nil
 }
@@ -136,79 +131,12 @@
 	return nil
 }
 
-func (f *Fleet) startHosts(c *configuration.Configuration) error {
-	authority, err := keys.Ephemeral()
-	if err != nil {
-		return err
-	}
-	var records []platform.HostRecord
-	for i, domain := range c.FailureDomains {
-		records = append(records, platform.HostRecord{
-			Name: hostName(domain.Name), FailureDomain: domain.Name, FleetAddress: f.address(fleetOffset, i).String(),
-		})
-	}
-	f.store.SetHosts(records)
-	for i, domain := range c.FailureDomains {
-		h, err := f.startHost(authority, i, domain)
-		if err != nil {
-			return err
-		}
-		f.hosts = append(f.hosts, h)
-	}
-	return nil
-}
-
-func hostName(domain string) string { return domain + "-1" }
-
-func (f *Fleet) startHost(authority *keys.Authority, i int, domain configuration.FailureDomain) (*daemon.Host, error) {
-	s := settings.Default()
-	s.Host = settings.Host{ID: hostName(domain.Name), FailureDomain: domain.Name, Region: domain.Region}
-	s.Entry.Listen = f.address(entryOffset, i)
-	s.Fleet.Listen = f.address(fleetOffset, i)
-	s.Admin.Listen = f.address(adminOffset, i)
-	s.Platform.Endpoints = []string{f.endpoint}
-	s.Shutdown.Notice = configuration.Duration(notice)
-	material, err := authority.Material(keys.Name{Host: host.ID(s.Host.ID), FailureDomain: domain.Name})
-	if err != nil {
-		return nil, err
-	}
-	return daemon.Start(daemon.Options{
-		Settings: s,
-		Store:    httpstore.New(s.Platform.Endpoints, httpstore.WithCaller(s.Host.ID, domain.Name)),
-		Keys:     keys.NewHolder(material),
-		Logger:   f.options.Logger,
-	})
-}
-
-func (f *Fleet) waitReady(ctx context.Context) error {
-	limit := time.Now().Add(readyTimeout)
-	for _, h := range f.hosts {
-		for !h.Ready() {
-			if ctx.Err() != nil {
-				return ctx.Err()
-			}
-			if time.Now().After(limit) {
-				return &NotReadyError{Host: h.Self().ID}
-			}
-			time.Sleep(readyPoll)
-		}
-	}
-	return nil
-}
-
 // Stop shuts all hosts down gracefully, then ends the stand-ins.
 func (f *Fleet) Stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
-	defer cancel()
-	failures := make(chan error, len(f.hosts))
-	for _, h := range f.hosts {
-		go func() { failures <- h.Shutdown(ctx) }()
-	}
 	var first error
-	for range f.hosts {
-		if err := <-failures; err != nil && first == nil {
-			first = err
-		}
+	if f.hosts != nil {
+		first = f.hosts.ShutdownAll(context.Background())
+		f.hosts.Close()
 	}
 	for _, u := range f.upstreams {
 		_ = u.Close() // a stand-in
