Measure: send arrivals in the order of their times

Cause: the arrivals of each account were sent account after account, so all but the first account's came late and at once. Change: the schedule is sorted by due time.

--- a/test/measure/workload.go
+++ b/test/measure/workload.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -47,7 +49,7 @@
 				break
 			}
 			all = append(all, arrival{
-				due: next, account: account.Name, id: uint64(len(all)),
+				due: next, account: account.Name,
 				domain:  t.deployment.hosts[random.IntN(len(t.deployment.hosts))],
 				service: pick(random, services, t.deployment.mix),
 				post:    random.Float64() < postShare,
@@ -55,6 +57,10 @@
 			})
 		}
 	}
+	slices.SortStableFunc(all, func(a, b arrival) int { return cmp.Compare(a.due, b.due) })
+	for i := range all {
+		all[i].id = uint64(i)
+	}
 	return all
 }
 
