--- a/test/measure/workload.go
+++ b/test/measure/workload.go
@@ -49,7 +49,7 @@
 				break
 			}
 			all = append(all, arrival{
-				due: next, account: account.Name,
+				due: next, account: account.Name, id: uint64(len(all)),
 				domain:  t.deployment.hosts[random.IntN(len(t.deployment.hosts))],
 				service: pick(random, services, t.deployment.mix),
 				post:    random.Float64() < postShare,
@@ -57,10 +57,7 @@
 			})
 		}
 	}
-	slices.SortStableFunc(all, func(a, b arrival) int { return cmp.Compare(a.due, b.due) })
-	for i := range all {
-		all[i].id = uint64(i)
-	}
+	slices.SortFunc(all, func(a, b arrival) int { return cmp.Compare(a.due, b.due) })
 	return all
 }
 
