--- a/internal/fleet/keys/ephemeral.go
+++ b/internal/fleet/keys/ephemeral.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/pem"
 	"math/big"
 	"net/url"
 	"time"
@@ -108,3 +109,26 @@
 	}
 	return certificate, nil
 }
+
+// PEM holds the files of one host.
+type PEM struct {
+	Certificate []byte
+	Key         []byte
+	Authorities []byte
+}
+
+// EncodePEM returns the files that Load reads.
+func EncodePEM(certificate *tls.Certificate, authorities ...*x509.Certificate) (PEM, error) {
+	key, err := x509.MarshalPKCS8PrivateKey(certificate.PrivateKey)
+	if err != nil {
+		return PEM{}, &CertificateError{Reason: "encoding the key", Err: err}
+	}
+	files := PEM{Key: pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key})}
+	for _, raw := range certificate.Certificate {
+		files.Certificate = append(files.Certificate, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: raw})...)
+	}
+	for _, authority := range authorities {
+		files.Authorities = append(files.Authorities, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: authority.Raw})...)
+	}
+	return files, nil
+}
--- a/internal/fleet/keys/source.go
+++ b/internal/fleet/keys/source.go
@@ -1,10 +1,12 @@
 package keys
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"os"
 	"sync/atomic"
+	"time"
 )
 
 // Holder is a Source whose material can be replaced while it is in use.
@@ -47,16 +49,53 @@
 	return files, nil
 }
 
-// Reload reads the files again. On failure the material in use stays in use.
+// Reload reads the files again. On failure, also if the new certificate names
+// another host, the material in use stays in use.
 func (f *Files) Reload() error {
 	material, err := read(f.paths)
 	if err != nil {
 		return err
 	}
+	if current := f.Current(); current != nil {
+		if err := sameName(current, material); err != nil {
+			return err
+		}
+	}
 	f.Replace(material)
 	return nil
 }
 
+func sameName(current, next *Material) error {
+	before, err := NameOf(current.Certificate.Leaf)
+	if err != nil {
+		return err
+	}
+	after, err := NameOf(next.Certificate.Leaf)
+	if err != nil {
+		return err
+	}
+	if before != after {
+		return &CertificateError{Reason: "the new certificate names another host: " + after.URI().String()}
+	}
+	return nil
+}
+
+// Watch reloads the files each period and reports failures, until ctx ends.
+func (f *Files) Watch(ctx context.Context, period time.Duration, report func(error)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := f.Reload(); err != nil {
+			report(err)
+		}
+	}
+}
+
 func read(paths Paths) (*Material, error) {
 	certificate, err := tls.LoadX509KeyPair(paths.Certificate, paths.Key)
 	if err != nil {
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -143,6 +143,7 @@
 	Domains  []DomainDigest   `cbor:"10,keyasint,omitempty"`
 	Capacity []PeerDigest     `cbor:"11,keyasint,omitempty"` // hosts of the domain with room
 	Want     bool             `cbor:"12,keyasint,omitempty"` // asks for Domains and Capacity
+	Late     []host.ID        `cbor:"13,keyasint,omitempty"` // hosts of the domain that the sender misses
 }
 
 // SyncRequest asks for what changed since the stamps held.
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -26,6 +26,7 @@
 	hintTimeout    = 5 * time.Second
 	syncTimeout    = 3 * time.Second
 	syncRingSize   = 32
+	wantEvery      = 4 // heartbeats of which one asks for the digests of others
 )
 
 // Options configures a Service.
@@ -65,6 +66,9 @@
 	synced    map[netip.AddrPort]time.Time // last attempt
 	wants     uint64
 	random    *rand.Rand
+
+	published   uint64 // version of the table in the published view
+	publishedAt time.Time
 }
 
 // New returns a service that knows only this host.
@@ -254,6 +258,9 @@
 	defer cancel()
 	request := s.beat(target.Period)
 	request.To = target.Identity.Incarnation
+	if target.Identity.FailureDomain != s.options.Self.FailureDomain {
+		request.Domains = s.ownDomain(request.Digest)
+	}
 	request.Want = s.wantMore(target)
 	s.sent.Inc(1)
 	var reply Heartbeat
@@ -277,7 +284,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.wants++
-	return s.wants%2 == 0 && target.Identity.FailureDomain == s.options.Self.FailureDomain
+	return s.wants%wantEvery == 0 && target.Identity.FailureDomain == s.options.Self.FailureDomain
 }
 
 func (s *Service) beat(period time.Duration) Heartbeat {
@@ -285,11 +292,17 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	beat := s.table.Beat(now, digest, period)
-	if beat.Speaker {
-		beat.Domains = []DomainDigest{s.table.OwnDomainDigest(now, digest)}
+	return s.table.Beat(now, digest, period)
+}
+
+// ownDomain returns the digest of the own domain for a heartbeat to another.
+func (s *Service) ownDomain(digest Digest) []DomainDigest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table.Speaker() != s.options.Self.ID {
+		return nil
 	}
-	return beat
+	return []DomainDigest{s.table.OwnDomainDigest(time.Now(), digest)}
 }
 
 // digest asks the providers, without holding a lock.
@@ -338,9 +351,11 @@
 		self := s.options.Self
 		reply.Self = &self
 	}
-	if request.Want && reply.Speaker && from.FailureDomain == s.options.Self.FailureDomain {
+	if from.FailureDomain != s.options.Self.FailureDomain {
+		reply.Domains = s.ownDomain(reply.Digest)
+	} else if request.Want && reply.Speaker {
 		s.mu.Lock()
-		reply.Domains = append(reply.Domains, s.table.RemoteDigests()...)
+		reply.Domains = s.table.RemoteDigests()
 		reply.Capacity = s.table.Capacity(from.ID)
 		s.mu.Unlock()
 	}
@@ -396,9 +411,15 @@
 	s.mu.Unlock()
 }
 
-// publish makes a new view for readers.
+// publish makes a new view for readers after a change, and once each period.
 func (s *Service) publish(now time.Time) {
 	s.mu.Lock()
+	if s.published == s.table.version && now.Sub(s.publishedAt) < s.options.Timing.Period {
+		s.mu.Unlock()
+		return
+	}
+	s.published = s.table.version
+	s.publishedAt = now
 	view := s.table.View(now)
 	s.mu.Unlock()
 	live := int64(1)
--- a/internal/membership/summary.go
+++ b/internal/membership/summary.go
@@ -172,6 +172,7 @@
 	}
 	if !m.identity.Same(h.Identity) {
 		*m = member{state: m.state, identity: h.Identity}
+		t.version++
 		t.touch(m)
 	}
 	m.listed = true
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -37,7 +37,7 @@
 const (
 	meshLimit      = 8  // hosts of a domain that all exchange heartbeats with each other
 	ringNeighbours = 2  // successors that a host of a larger domain exchanges heartbeats with
-	leaderRate     = 20 // heartbeats per second that a leader receives from its domain
+	leaderRate     = 12 // heartbeats per second that a leader receives from its domain
 	candidateCount = 3  // first live hosts of a domain that may become its leader
 )
 
@@ -84,6 +84,7 @@
 	peerCache  []*member // result of peers; nil if it must be made again
 	lastTick   time.Time
 	stale      bool
+	version    uint64    // of the states, identities and leadership
 	monitoring bool      // heartbeats of all hosts of the own domain must arrive here
 	refreshed  time.Time // last exchange with a host of the own domain
 }
@@ -110,6 +111,7 @@
 	}
 	t.leadership = leadership
 	t.peerCache = nil
+	t.version++
 	t.restart(t.sequence + 1)
 	t.beginMonitoring(now)
 }
@@ -157,6 +159,7 @@
 	replaced := !m.identity.Same(from)
 	m.identity = from
 	if replaced {
+		t.version++
 		m.leaving = false
 		t.touch(m)
 	}
@@ -170,6 +173,7 @@
 		t.refreshed = now
 		t.stale = false
 		t.noteStamp(beat.Own)
+		t.noteLate(now, beat.Late)
 	}
 	t.noteDomains(now, from, beat)
 	return nil
@@ -281,6 +285,7 @@
 	state := t.observe(m, now)
 	if state != m.state {
 		m.state = state
+		t.version++
 		t.touch(m)
 	}
 }
@@ -371,7 +376,7 @@
 	if size < meshLimit {
 		return t.timing.Period
 	}
-	return max(t.timing.Period, time.Duration(size)*time.Second/leaderRate)
+	return max(t.timing.Period, (time.Duration(size)*time.Second+leaderRate-1)/leaderRate)
 }
 
 // Speaker returns the host that makes the summary of the own domain: the leader,
--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -22,8 +22,9 @@
 // that exchange heartbeats one asks; the other asks only if that one is late.
 func (t *Table) Targets(now time.Time) []Target {
 	var targets []Target
+	candidates := t.Candidates()
 	for _, m := range t.peers() {
-		if period, ok := t.asks(m, now); ok {
+		if period, ok := t.asks(m, candidates, now); ok {
 			targets = append(targets, Target{Addr: m.identity.Fleet, Identity: m.identity, Period: period})
 		}
 	}
@@ -35,7 +36,7 @@
 
 // asks reports whether this host sends heartbeats to a host of its domain, and
 // how often.
-func (t *Table) asks(m *member, now time.Time) (time.Duration, bool) {
+func (t *Table) asks(m *member, candidates []host.ID, now time.Time) (time.Duration, bool) {
 	first := t.self.ID < m.identity.ID
 	late := now.Sub(m.heard) > max(m.period, t.timing.Period)*3/2
 	if t.mesh() {
@@ -45,9 +46,12 @@
 		return t.timing.Period, late && !m.heard.IsZero()
 	}
 	if m.identity.ID == t.Speaker() || m.identity.ID == t.leadership.Leader {
+		if len(t.lateNeighbours(now)) > 0 {
+			return t.timing.Period, true
+		}
 		return t.heartbeatPeriod(), true
 	}
-	if t.follows(m) || t.bothCandidates(m) && first {
+	if t.follows(m) || first && bothAmong(candidates, t.self.ID, m.identity.ID) {
 		return t.timing.Period, true
 	}
 	return 0, false
@@ -66,9 +70,39 @@
 	return false
 }
 
-func (t *Table) bothCandidates(m *member) bool {
-	candidates := t.Candidates()
-	return slices.Contains(candidates, t.self.ID) && slices.Contains(candidates, m.identity.ID)
+func bothAmong(ids []host.ID, a, b host.ID) bool {
+	return slices.Contains(ids, a) && slices.Contains(ids, b)
+}
+
+// lateNeighbours returns the hosts after this one in the ring of a large domain
+// that have missed heartbeats, for the report to the leader.
+func (t *Table) lateNeighbours(now time.Time) []host.ID {
+	if t.monitoring {
+		return nil
+	}
+	var late []host.ID
+	for _, m := range t.peers() {
+		limit := time.Duration(t.timing.SuspectAfter) * t.timing.Period
+		silent := !m.heard.IsZero() && now.Sub(m.heard) > limit && m.reported == host.StateLive
+		if silent && t.follows(m) {
+			late = append(late, m.identity.ID)
+		}
+	}
+	return late
+}
+
+// noteLate makes a leader ask hosts that a neighbour reports as late at the short
+// period of small domains, until they answer.
+func (t *Table) noteLate(now time.Time, reported []host.ID) {
+	if !t.isLeader() {
+		return
+	}
+	for _, id := range reported {
+		if m, ok := t.members[id]; ok && now.Sub(m.heard) > t.timing.Period {
+			m.period = t.timing.Period
+			t.update(m, now)
+		}
+	}
 }
 
 // remoteTargets returns one host of each other domain: its leader, or the first
@@ -118,6 +152,7 @@
 		Known:   t.Known(),
 		Own:     t.ownStamp(),
 		Speaker: speaker,
+		Late:    t.lateNeighbours(now),
 	}
 	if speaker {
 		beat.Stale = t.staleDomains(now)
