--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -17,8 +17,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if err := f.options.Admitter.Admit(r.Context(), x.account); err != nil {
-			x.refuse(w, x.admissionProblem(r.Context(), err))
+		if err := f.options.Admitter.Admit(x.ctx, x.account); err != nil {
+			x.refuse(w, x.admissionProblem(x.ctx, err))
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/internal/entry/authenticate.go
+++ b/internal/entry/authenticate.go
@@ -49,7 +49,7 @@
 		x.refuse(w, malformed("the key may only be in the Authorization header"))
 		return
 	}
-	ctx, active, p := f.register(r.Context(), x)
+	ctx, active, p := f.register(x.ctx, x)
 	defer active.End()
 	if p != nil {
 		x.refuse(w, p)
@@ -59,7 +59,8 @@
 	if account := x.policy.Account(x.account); account != nil {
 		x.weight = account.Weight
 	}
-	next.ServeHTTP(w, r.WithContext(ctx))
+	x.ctx = ctx
+	next.ServeHTTP(w, r)
 }
 
 // register makes ctx end when the key is withdrawn. The key may have been
--- a/internal/entry/deadline.go
+++ b/internal/entry/deadline.go
@@ -15,7 +15,7 @@
 	longestDeadline = 10 * time.Minute
 )
 
-// limitTime gives the request its deadline. The context ends with it.
+// limitTime gives the request its deadline. The exchange's context ends with it.
 func (f *FrontDoor) limitTime(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		x := exchangeOf(r)
@@ -29,9 +29,10 @@
 			x.refuse(w, problem.New(problem.TypeDeadlineExceeded, problem.ExecutedNo, "the deadline had passed on arrival"))
 			return
 		}
-		ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+		ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 		defer cancel()
-		next.ServeHTTP(w, r.WithContext(ctx))
+		x.ctx = ctx
+		next.ServeHTTP(w, r)
 	})
 }
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -37,21 +37,21 @@
 	work := x.work()
 	var failure *sendFailure
 	for attempt := 1; ; attempt++ {
-		permit, err := f.options.Dispatcher.Acquire(r.Context(), work)
+		permit, err := f.options.Dispatcher.Acquire(x.ctx, work)
 		if err != nil && failure != nil {
-			x.refuse(w, x.sendProblem(r.Context(), failure))
+			x.refuse(w, x.sendProblem(x.ctx, failure))
 			return
 		}
 		if err != nil {
-			x.refuse(w, x.dispatchProblem(r.Context(), err))
+			x.refuse(w, x.dispatchProblem(x.ctx, err))
 			return
 		}
 		failure = f.send(w, r, x, permit)
 		if failure == nil {
 			return
 		}
-		if attempt == maxAttempts || !x.mayRetry(r.Context(), failure) {
-			x.refuse(w, x.sendProblem(r.Context(), failure))
+		if attempt == maxAttempts || !x.mayRetry(x.ctx, failure) {
+			x.refuse(w, x.sendProblem(x.ctx, failure))
 			return
 		}
 		work.Excluded = append(work.Excluded, permit.Target().Name())
@@ -93,7 +93,7 @@
 		return nil
 	}
 	controller := http.NewResponseController(w)
-	stop := context.AfterFunc(r.Context(), func() {
+	stop := context.AfterFunc(x.ctx, func() {
 		_ = controller.SetReadDeadline(time.Unix(1, 0)) // unsupported for relayed requests, whose stream ends by itself
 	})
 	payload, err := forward.ReadPayload(r.Body, r.ContentLength)
@@ -102,7 +102,7 @@
 		x.payload = payload
 		return nil
 	}
-	if p := endProblem(r.Context(), problem.ExecutedNo); p != nil {
+	if p := endProblem(x.ctx, problem.ExecutedNo); p != nil {
 		return p
 	}
 	return malformed("the body can't be read")
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -15,6 +15,7 @@
 // exchange is what the steps know of one request. It belongs to the request's
 // goroutine.
 type exchange struct {
+	ctx      context.Context // ends with the deadline, with the key and when the caller goes away
 	id       string
 	start    time.Time
 	policy   Policy
@@ -39,7 +40,7 @@
 	origin  string // ID of the host that relayed the request
 	grant   uint64
 
-	sendContext context.Context // ends an attempt; nil: the request's context
+	sendContext context.Context // ends an attempt; nil: ctx
 
 	mayHaveRun bool // bytes of the request may have reached an upstream
 	cut        bool
@@ -50,7 +51,8 @@
 type exchangeKey struct{}
 
 func withExchange(r *http.Request, x *exchange) *http.Request {
-	return r.WithContext(context.WithValue(r.Context(), exchangeKey{}, x))
+	x.ctx = context.WithValue(r.Context(), exchangeKey{}, x)
+	return r.WithContext(x.ctx)
 }
 
 func exchangeOf(r *http.Request) *exchange {
@@ -82,12 +84,12 @@
 	x.refuse(w, p)
 }
 
-// contextFor returns the context under which attempts run.
-func (x *exchange) contextFor(r *http.Request) context.Context {
+// attemptContext returns the context under which attempts run.
+func (x *exchange) attemptContext() context.Context {
 	if x.sendContext != nil {
 		return x.sendContext
 	}
-	return r.Context()
+	return x.ctx
 }
 
 func malformed(detail string) *problem.Problem {
--- a/internal/entry/forward/copy.go
+++ b/internal/entry/forward/copy.go
@@ -36,6 +36,29 @@
 	return len(response.TransferEncoding) > 0
 }
 
+// WholeBytes is the size up to which a body can be read whole.
+const WholeBytes = copyBufferBytes
+
+// ReadWhole reads a body of the given length, at most WholeBytes, into a pooled
+// buffer. The body is valid until release, which must be called. It returns an
+// error if the body breaks off.
+func ReadWhole(response *http.Response, length int64) (body []byte, release func(), err error) {
+	if length == 0 {
+		return nil, func() {}, nil
+	}
+	buffer := copyPool.Get().(*[copyBufferBytes]byte)
+	release = func() { copyPool.Put(buffer) }
+	n, err := io.ReadFull(response.Body, buffer[:length])
+	if err != nil {
+		return nil, release, err
+	}
+	invariant.Check(int64(n) == length, invariant.WholeAnswer, "read %d of %d bytes", n, length)
+	if _, err := response.Body.Read(buffer[n:n]); err != nil && err != io.EOF {
+		return nil, release, err
+	}
+	return buffer[:n], release, nil
+}
+
 // CopyBody copies the whole body of response to w and returns the bytes copied.
 // After an error the caller must abort the connection to w.
 func CopyBody(w http.ResponseWriter, response *http.Response, hasBody bool) (int64, error) {
--- a/internal/entry/forward/payload.go
+++ b/internal/entry/forward/payload.go
@@ -106,6 +106,9 @@
 func (p *Payload) Release() { p.unref() }
 
 func (p *Payload) unref() {
+	if p == emptyPayload {
+		return
+	}
 	if p.refs.Add(-1) == 0 && p.buffer != nil {
 		payloadPool.Put(p.buffer)
 		p.buffer = nil
@@ -153,8 +156,6 @@
 }
 
 // EmptyPayload returns the payload of a request without a body.
-func EmptyPayload() *Payload {
-	p := &Payload{}
-	p.refs.Store(1)
-	return p
-}
+func EmptyPayload() *Payload { return emptyPayload }
+
+var emptyPayload = &Payload{}
--- a/internal/entry/idempotency.go
+++ b/internal/entry/idempotency.go
@@ -54,7 +54,7 @@
 		return
 	}
 	left := time.Until(x.deadline)
-	ticket, decision, err := f.options.Idempotency.Begin(r.Context(), x.account, key, x.fingerprint(r), left)
+	ticket, decision, err := f.options.Idempotency.Begin(x.ctx, x.account, key, x.fingerprint(r), left)
 	switch {
 	case err != nil:
 		p := problem.New(problem.TypeIdempotencyUnknown, problem.ExecutedUnknown, "the keeper of the idempotency key can't be reached")
@@ -88,8 +88,8 @@
 // the caller's retry gets the answer; the deadline and a withdrawn key end it.
 func (f *FrontDoor) runTicket(w http.ResponseWriter, r *http.Request, x *exchange, ticket *idempotency.Ticket, next http.Handler) {
 	capture := &capture{ResponseWriter: w}
-	defer f.endTicket(capture, r, x, ticket)
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), x.deadline)
+	defer f.endTicket(capture, x, ticket)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.ctx), x.deadline)
 	defer cancel()
 	ctx, active, p := f.register(ctx, x)
 	defer active.End()
@@ -103,7 +103,7 @@
 
 // endTicket tells the keeper how the attempt ended. A keeper on another host is
 // told after the answer has left, so that the caller does not wait for it.
-func (f *FrontDoor) endTicket(c *capture, r *http.Request, x *exchange, ticket *idempotency.Ticket) {
+func (f *FrontDoor) endTicket(c *capture, x *exchange, ticket *idempotency.Ticket) {
 	reason := recover()
 	result, answer := x.outcome(c, reason != nil)
 	if reason == nil && !ticket.IsLocal() {
@@ -111,7 +111,7 @@
 	}
 	invariant.Check(result != idempotency.ResultNotRun || !x.mayHaveRun, invariant.AtMostOnce,
 		"request %s is given up as not run", x.id)
-	if err := ticket.Finish(r.Context(), result, answer); err != nil {
+	if err := ticket.Finish(x.ctx, result, answer); err != nil {
 		f.metrics.unconfirmed.Inc(1)
 		_ = level.Warn(f.options.Logger).Log("msg", "idempotency keeper did not confirm", "request", x.id, "err", err)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 
 const (
 	headReadTimeout   = 10 * time.Second
+	writeTimeout      = longestDeadline + time.Minute // frees a caller that does not read
 	idleTimeout       = 2 * time.Minute
 	maxRequestHeadLen = 64 << 10
 )
@@ -28,6 +29,7 @@
 		Handler:           handler,
 		ConnContext:       guard.ConnContext,
 		ReadHeaderTimeout: headReadTimeout,
+		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxRequestHeadLen,
 		Protocols:         protocols,
