Ask for room that lagging announcements hide

Cause: a peer whose announced free slots were all lent to this host was no candidate any more, so its grant was not renewed; and an idle host reserved a slot per service for work it did not get. Change: peers of the same domain and peers with a grant are always candidates; a quarter more room than needed is asked for; the reserve needs local work in the last 5 s. Two tests now make local work first, for the reserve depends on it, and expect the same slots; a new one covers the idle host.

--- a/internal/upstream/duty.go
+++ b/internal/upstream/duty.go
@@ -62,22 +62,15 @@
 	current := d.current()
 	peers := d.currentPeers(now)
 	for service, l := range current.lanes {
-		if !l.needsRoom() {
-			continue
+		find := func(holds func(host.ID) bool) []candidate {
+			return d.candidates(current.source, peers, service, holds, now)
 		}
-		found := d.candidates(current.source, peers, service, now)
-		for _, a := range l.planAsks(found, now) {
+		for _, a := range l.planAsks(find, now) {
 			go d.ask(ctx, l, a)
 		}
 	}
 }
 
-func (l *lane) needsRoom() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.pool.wanted() > 0
-}
-
 // ask sends one request for room. At most askParallel run for each service.
 func (d *Dispatcher) ask(ctx context.Context, l *lane, a ask) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -93,15 +86,17 @@
 	l.answered(a, reply, asked, d.now())
 }
 
-func (d *Dispatcher) candidates(c *configuration.Configuration, peers []Peer, service string, now time.Time) []candidate {
+func (d *Dispatcher) candidates(c *configuration.Configuration, peers []Peer, service string, holds func(host.ID) bool, now time.Time) []candidate {
 	draining := func(id host.Identity) bool { return hostDrained(c, id, now) }
-	return candidates(d.options.Self, peers, service, draining)
+	return candidates(d.options.Self, peers, service, draining, holds)
 }
 
+func noGrant(host.ID) bool { return false }
+
 // reach returns the round trip to the nearest peer that may have room, or zero.
 func (d *Dispatcher) reach(service string) time.Duration {
 	now := d.now()
-	found := d.candidates(d.plan.Load().source, d.currentPeers(now), service, now)
+	found := d.candidates(d.plan.Load().source, d.currentPeers(now), service, noGrant, now)
 	if len(found) == 0 {
 		return 0
 	}
--- a/internal/upstream/lane.go
+++ b/internal/upstream/lane.go
@@ -150,13 +150,17 @@
 }
 
 // planAsks returns the requests for room to send now.
-func (l *lane) planAsks(found []candidate, now time.Time) []ask {
+func (l *lane) planAsks(find func(holds func(host.ID) bool) []candidate, now time.Time) []ask {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	wanted := l.pool.wanted()
 	if wanted == 0 {
 		return nil
 	}
+	found := find(func(id host.ID) bool {
+		grant, _ := l.pool.holder.Current(id, now)
+		return grant != 0
+	})
 	return l.asker.plan(l.pool, found, wanted, now)
 }
 
--- a/internal/upstream/peers.go
+++ b/internal/upstream/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 
 // Settings of requests for room.
 const (
+	askAhead        = 0.25                   // of the relays wanted now, asked for in addition
 	askParallel     = 3                      // peers asked at the same time for one service
 	askTimeout      = room.Term              // of one request
 	askPause        = 200 * time.Millisecond // after a peer had no room
@@ -72,21 +74,25 @@
 	}
 }
 
-// candidates returns the live peers that announced free slots of service,
-// nearest first. Among peers at the same distance the order depends on their
+// candidates returns the live peers that may have free slots of service, nearest
+// first. Announcements lag, so peers of the same failure domain count whatever
+// they announced. Among peers at the same distance the order depends on their
 // free slots and differs between hosts, so that hosts do not all ask the same.
-// draining reports whether a peer may get no new work.
-func candidates(self host.Identity, peers []Peer, service string, draining func(host.Identity) bool) []candidate {
+// draining reports whether a peer may get no new work, and holds whether this
+// host has a grant of it, which its announcements no longer show as free.
+func candidates(self host.Identity, peers []Peer, service string, draining func(host.Identity) bool, holds func(host.ID) bool) []candidate {
 	var found []candidate
 	for _, peer := range peers {
 		free := peer.FreeSlots[service]
-		if free <= 0 || peer.State != host.StateLive || draining(peer.Identity) {
+		distance := distanceTo(self, peer.Identity)
+		hopeful := free > 0 || distance == distanceSameDomain || holds(peer.Identity.ID)
+		if !hopeful || peer.State != host.StateLive || draining(peer.Identity) {
 			continue
 		}
 		found = append(found, candidate{
 			identity: peer.Identity,
-			distance: distanceTo(self, peer.Identity),
-			free:     free,
+			distance: distance,
+			free:     max(1, free),
 			rank:     float64(free) * (0.5 + spread(string(self.ID), string(peer.Identity.ID), service)),
 		})
 	}
@@ -144,8 +150,11 @@
 			wanted -= p.holder.SlotsOf(grant)
 			continue
 		}
-		slots := min(wanted, c.free+p.holder.SlotsOf(grant))
-		wanted -= slots
+		slots := wanted
+		if c.distance > distanceSameDomain {
+			slots = min(wanted, c.free+p.holder.SlotsOf(grant))
+		}
+		wanted -= min(slots, c.free+p.holder.SlotsOf(grant))
 		a.pending[c.identity.ID] = true
 		request := room.Request{Service: p.service, Slots: slots, Renew: grant}
 		asks = append(asks, ask{peer: c.identity, distance: c.distance, request: request})
@@ -172,9 +181,11 @@
 	}
 }
 
-// wanted returns how many concurrent relays the pool could use.
+// wanted returns how many concurrent relays the pool could use, with some for
+// the requests that arrive meanwhile.
 func (p *pool) wanted() int {
-	return min(p.queue.len(), p.queue.limit) + p.holder.InUse()
+	now := p.queue.len() + p.holder.InUse()
+	return now + int(math.Ceil(askAhead*float64(now)))
 }
 
 // peersMaxAge is the age at which the known peers are read again.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,6 +12,7 @@
 // Settings of a pool.
 const (
 	maxWait       = 10 * time.Second // wait of work without a deadline
+	reserveMemory = 5 * time.Second  // without local work after which nothing is reserved
 	reserveShare  = 0.1              // of the slots that is never lent
 	minRetryAfter = 100 * time.Millisecond
 )
@@ -44,6 +45,8 @@
 	usual    estimate
 	egress   *egress
 	retries  retryBudget
+
+	lastLocal time.Time // when this host last accepted work of its own callers
 }
 
 func newPool(service string, capacity CapacityShare, incarnation host.Incarnation, budget *egress) *pool {
@@ -79,7 +82,7 @@
 		return 0
 	}
 	reserve := 0
-	if limit > 1 {
+	if limit > 1 && now.Sub(p.lastLocal) < reserveMemory {
 		reserve = int(math.Ceil(reserveShare * float64(limit)))
 	}
 	return max(0, free-p.lender.SetAside(now)-reserve)
@@ -109,6 +112,7 @@
 	if work.Relayed {
 		return p.submitRelayed(work, now)
 	}
+	p.lastLocal = now
 	if p.queue.len() > 0 {
 		return nil, nil
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -99,6 +99,7 @@
 	_, _, refused := p.submit(relayed, 0, now)
 	require.Equal(t, ReasonNoGrant, refused.Reason)
 
+	serve(t, p, 1, time.Millisecond, now)
 	reply := p.lender.Lend("h2", room.Request{Slots: 10}, p.lendable(now), now)
 	require.Equal(t, 3, reply.Slots, "one slot is reserved for local work")
 	mustPlace(t, p, Work{}, now)
@@ -119,6 +120,7 @@
 
 func TestPoolLostGrantWastesAtMostOneTerm(t *testing.T) {
 	p := testPool(4)
+	serve(t, p, 1, time.Millisecond, testStart)
 	p.lender.Lend("h2", room.Request{Slots: 10}, p.lendable(testStart), testStart)
 	mustPlace(t, p, Work{}, testStart)
 	require.Zero(t, p.spare(testStart))
@@ -126,6 +128,18 @@
 	require.Equal(t, 3, p.spare(later))
 }
 
+func TestPoolReservesNothingWithoutLocalWork(t *testing.T) {
+	p := testPool(10)
+	require.Equal(t, 10, p.lendable(testStart))
+	serve(t, p, 1, time.Millisecond, testStart)
+	require.Equal(t, 9, p.lendable(testStart))
+	require.Equal(t, 10, p.lendable(testStart.Add(reserveMemory)))
+	mustPlace(t, p, Work{}, testStart)
+	_, waiting, _ := p.submit(Work{Excluded: []string{"u0"}}, 0, testStart)
+	require.NotNil(t, waiting)
+	require.Zero(t, p.lendable(testStart), "nothing is lent while work waits here")
+}
+
 func TestPoolOverflowsUnderAGrantWhenThatIsSooner(t *testing.T) {
 	p := testPool(1)
 	now := testStart
