Hand idempotency records over on a planned stop

Cause: a planned restart of a keeper made its unused keys unknown, and one of a domain leader put own keys into quarantine. Change: books of issued keys move to a successor that all hosts are told of; records of own keys move to the next leader under the epoch. Admission errors that are problems are passed on; unknown ones are 'not ready', not 'rate exceeded'. Conclusion: planned stops keep keys usable; unplanned ones stay strict.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -33,5 +33,9 @@
 	if p := endProblem(ctx, problem.ExecutedNo); p != nil {
 		return p
 	}
-	return problem.New(problem.TypeRateExceeded, problem.ExecutedNo, "the rate can't be checked now").After(overloadRetry)
+	var refusal *problem.Problem
+	if errors.As(err, &refusal) && refusal.Executed == problem.ExecutedNo {
+		return refusal
+	}
+	return problem.New(problem.TypeNotReady, problem.ExecutedNo, "the rate can't be checked now").After(notReadyRetry)
 }
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -23,8 +23,8 @@
 
 // Admitter spends one request of a client account's rate.
 type Admitter interface {
-	// Admit returns a RateError, or the context's error, if the request may not
-	// go on.
+	// Admit returns a RateError, a *problem.Problem or the context's error if the
+	// request may not go on. Other errors are answered as not ready.
 	Admit(ctx context.Context, account string) error
 }
 
--- a/internal/idempotency/client.go
+++ b/internal/idempotency/client.go
@@ -98,6 +98,9 @@
 	if !ok {
 		return c.Self, nil // found invalid by the local keeper
 	}
+	if to, ok := c.Local.Keeper.whereabouts(parsed.book()); ok {
+		return to, nil
+	}
 	if parsed.keeper == c.Self.ID {
 		return c.Self, nil
 	}
@@ -179,15 +182,27 @@
 	first := t.finished.CompareAndSwap(false, true)
 	invariant.Check(first, invariant.AtMostOnce, "attempt %d finished twice", t.begin.Attempt.Sequence)
 	f := Finish{Account: t.begin.Account, Key: t.begin.Key, Attempt: t.begin.Attempt, Result: result, Answer: answer}
-	if t.IsLocal() {
-		t.client.Local.Finish(&f)
-		return nil
-	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishBudget)
 	defer cancel()
+	if confirmed, err := t.report(ctx, t.keeper, &f); err == nil && confirmed.Known {
+		return nil
+	}
+	keeper, err := t.client.keeperOf(f.Account, f.Key) // the book may have moved
+	if err != nil {
+		return err
+	}
+	_, err = t.report(ctx, keeper, &f)
+	return err
+}
+
+// report sends the end of the attempt to a keeper.
+func (t *Ticket) report(ctx context.Context, keeper host.Identity, f *Finish) (Finished, error) {
+	if keeper.ID == t.client.Self.ID {
+		return t.client.Local.Finish(f), nil
+	}
 	var confirmed Finished
-	if err := t.client.try(ctx, finishTries, t.keeper, KindFinish, &f, &confirmed); err != nil {
-		return &KeeperError{Keeper: string(t.keeper.ID), Err: err}
+	if err := t.client.try(ctx, finishTries, keeper, KindFinish, f, &confirmed); err != nil {
+		return Finished{}, &KeeperError{Keeper: string(keeper.ID), Err: err}
 	}
-	return nil
+	return confirmed, nil
 }
--- /dev/null
+++ b/internal/idempotency/handover_test.go
@@ -0,0 +1,105 @@
+package idempotency
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"peridotrail/internal/host"
+)
+
+type fixedLeadership struct {
+	epoch uint64
+	held  bool
+}
+
+func (l *fixedLeadership) Held(time.Time) (uint64, bool) { return l.epoch, l.held }
+
+// Keys that were issued before a planned stop go on to work, used or not.
+func TestPlannedStopKeepsIssuedKeys(t *testing.T) {
+	n := &network{handlers: map[netip.AddrPort]handlers{}}
+	now := start
+	clock := func() time.Time { return now }
+	identities := []host.Identity{identityOf(0, 1, "toronto"), identityOf(1, 1, "toronto"), identityOf(2, 1, "detroit")}
+	var clients []*Client
+	for _, self := range identities {
+		s := &Service{Keeper: NewKeeper(self, clock)}
+		n.serve(self.Fleet, s)
+		find := func(host.ID) (host.Identity, bool) { return host.Identity{}, false }
+		if self.ID != identities[0].ID {
+			find = func(id host.ID) (host.Identity, bool) { return identities[0], id == identities[0].ID }
+		}
+		clients = append(clients, &Client{Self: self, Local: s, Calls: n, Find: find, pause: 1})
+	}
+	keeper := clients[0].Local.Keeper
+	var used []string
+	for i := range 3 * partRecords {
+		used = append(used, keeper.Issue("clinic"))
+		ticket, _, err := clients[i%3].Begin(t.Context(), "clinic", used[i], Fingerprint{}, time.Minute)
+		require.NoError(t, err)
+		require.NoError(t, ticket.Finish(t.Context(), ResultAnswered, &Answer{Body: []byte(used[i])}))
+	}
+	unused, running := keeper.Issue("clinic"), keeper.Issue("clinic")
+	late, _, err := clients[2].Begin(t.Context(), "clinic", running, Fingerprint{}, time.Minute)
+	require.NoError(t, err)
+
+	now = now.Add(time.Minute)
+	require.NoError(t, keeper.HandOver(t.Context(), n, identities[1], identities[1:]))
+	delete(n.handlers, identities[0].Fleet)
+	require.NoError(t, late.Finish(t.Context(), ResultAnswered, &Answer{Body: []byte("late")}))
+
+	for _, c := range clients[1:] {
+		for _, key := range used {
+			_, decision, err := c.Begin(t.Context(), "clinic", key, Fingerprint{}, time.Minute)
+			require.NoError(t, err)
+			require.Equal(t, VerdictReplay, decision.Verdict)
+			require.Equal(t, key, string(decision.Answer.Body))
+		}
+		_, decision, err := c.Begin(t.Context(), "clinic", running, Fingerprint{}, time.Minute)
+		require.NoError(t, err)
+		require.Equal(t, VerdictReplay, decision.Verdict)
+	}
+	ticket, _, err := clients[2].Begin(t.Context(), "clinic", unused, Fingerprint{}, time.Minute)
+	require.NoError(t, err)
+	require.NotNil(t, ticket)
+	require.Equal(t, VerdictUnknown, keeper.Begin(&Begin{Account: "clinic", Key: unused}).Verdict, "the old keeper decides no more")
+	now = now.Add(KeyValidity)
+	_, decision, err := clients[1].Begin(t.Context(), "clinic", keeper.Issue("clinic"), Fingerprint{}, time.Minute)
+	require.NoError(t, err)
+	require.Equal(t, VerdictRun, decision.Verdict, "the age of the process is carried over")
+}
+
+// A leader that stops as planned leaves no quarantine behind; one that dies does.
+func TestQuarantineFollowsUnplannedChangesOnly(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		t.Run(fmt.Sprint(planned), func(t *testing.T) {
+			n := &network{handlers: map[netip.AddrPort]handlers{}}
+			now := start
+			clock := func() time.Time { return now }
+			domains := func() Domains { return Domains{Names: []string{"toronto"}, Revision: 1, Fresh: true} }
+			one, two := identityOf(0, 1, "toronto"), identityOf(1, 1, "toronto")
+			leads, follows := &fixedLeadership{epoch: 1, held: true}, &fixedLeadership{}
+			old := NewOwnKeeper(one, clock, leads, domains)
+			next := NewOwnKeeper(two, clock, follows, domains)
+			n.serve(two.Fleet, &Service{Keeper: NewKeeper(two, clock), Own: next})
+			first := beginOf("order-1", 1)
+			require.Equal(t, VerdictRun, old.Begin(first).Verdict)
+			old.Finish(finishOf(first, ResultAnswered, &Answer{Status: 201}))
+			leads.held = false
+			if planned {
+				require.NoError(t, old.HandOver(context.Background(), n, 1, two))
+			}
+			follows.epoch, follows.held = 2, true
+			want := map[bool]Verdict{true: VerdictReplay, false: VerdictUnknown}
+			require.Equal(t, want[planned], next.Begin(beginOf("order-1", 2)).Verdict)
+			want = map[bool]Verdict{true: VerdictRun, false: VerdictUnknown}
+			require.Equal(t, want[planned], next.Begin(beginOf("order-2", 3)).Verdict)
+			now = now.Add(OwnRetention)
+			require.Equal(t, VerdictRun, next.Begin(beginOf("order-3", 4)).Verdict)
+		})
+	}
+}
--- a/internal/idempotency/keeper.go
+++ b/internal/idempotency/keeper.go
@@ -1,13 +1,10 @@
 package idempotency
 
 import (
-	"context"
 	"crypto/rand"
-	"hash/maphash"
 	"sync"
 	"time"
 
-	"peridotrail/internal/fleet"
 	"peridotrail/internal/host"
 )
 
@@ -21,129 +18,104 @@
 // Clock returns the time. It must carry a monotonic reading in production.
 type Clock func() time.Time
 
-// Keeper issues keys and keeps their records for the life of its process. It is
-// safe for concurrent use.
+// Keeper issues keys and keeps their records for the life of its process, and the
+// books that stopping processes handed over to it. It is safe for concurrent use.
 type Keeper struct {
-	self    host.Identity
-	now     Clock
-	started time.Time
-	secret  [secretBytes]byte
-	seed    maphash.Seed
-	shards  [shardCount]keeperShard
+	self host.Identity
+	now  Clock
+	own  *book
+
+	mu      sync.Mutex // guards the fields below; never held across I/O
+	adopted map[bookID]*adoption
+	moved   map[bookID]moved
+}
+
+// adoption is a book that is being received, or was received.
+type adoption struct {
+	book *book // nil until all parts have arrived, and again when it has been handed on or is spent
+	done bool  // never received again
+	from time.Time
+	got  map[int][]movedRecord
 }
 
-type keeperShard struct {
-	mu      sync.Mutex // guards records; never held across I/O
-	records *records
+// moved is where a book went.
+type moved struct {
+	to host.Identity
+	at time.Time
 }
 
 // NewKeeper returns the keeper of the process self. Its secret and its records
-// end with the process.
+// end with the process, unless they are handed over.
 func NewKeeper(self host.Identity, now Clock) *Keeper {
-	k := &Keeper{self: self, now: now, started: now(), seed: maphash.MakeSeed()}
-	rand.Read(k.secret[:]) // never fails
-	for i := range k.shards {
-		k.shards[i].records = newRecords(shardRecords, shardAnswerBytes)
+	var secret [secretBytes]byte
+	rand.Read(secret[:]) // never fails
+	return &Keeper{
+		self:    self,
+		now:     now,
+		own:     newBook(bookID{Host: self.ID, Incarnation: self.Incarnation}, now(), secret),
+		adopted: map[bookID]*adoption{},
+		moved:   map[bookID]moved{},
 	}
-	return k
 }
 
 // Issue returns a new key for a client account.
 func (k *Keeper) Issue(account string) string {
-	issued := k.now().Sub(k.started)
-	return newIssuedKey(k.self, issued, k.secret[:], account).String()
+	issued := k.now().Sub(k.own.started)
+	return newIssuedKey(k.self, issued, k.own.secret[:], account).String()
 }
 
-// Begin decides whether an attempt may run. A key of another process is unknown.
+// Begin decides whether an attempt may run. A key of a book that is not here is
+// unknown.
 func (k *Keeper) Begin(b *Begin) Decision {
 	key, ok := parseIssued(b.Key)
 	if !ok {
 		return Decision{Verdict: VerdictInvalid}
 	}
-	if key.keeper != k.self.ID || key.incarnation != k.self.Incarnation {
+	held := k.book(key.book())
+	if held == nil {
 		return Decision{Verdict: VerdictUnknown}
 	}
-	if !key.authentic(k.secret[:], b.Account) {
-		return Decision{Verdict: VerdictInvalid}
-	}
-	s := k.shard(b.Key)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := k.now()
-	expires := k.started.Add(key.issued + KeyValidity)
-	return s.records.begin(now, b, expires, now.Before(expires))
+	return held.begin(k.now(), key, b)
 }
 
 // Finish records the end of an attempt.
 func (k *Keeper) Finish(f *Finish) Finished {
-	s := k.shard(f.Key)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.records.finish(k.now(), f)
-}
-
-// Count returns the number of records.
-func (k *Keeper) Count() int {
-	count := 0
-	for i := range k.shards {
-		s := &k.shards[i]
-		s.mu.Lock()
-		count += len(s.records.byID)
-		s.mu.Unlock()
-	}
-	return count
-}
-
-func (k *Keeper) shard(key string) *keeperShard {
-	return &k.shards[maphash.String(k.seed, key)%shardCount]
-}
-
-// Service answers the messages of other hosts. Own may be nil.
-type Service struct {
-	Keeper *Keeper
-	Own    *OwnKeeper
-}
-
-// Register adds the handlers to registry.
-func (s *Service) Register(registry fleet.Registry) {
-	registry.Handle(KindBegin, s.handleBegin)
-	registry.Handle(KindFinish, s.handleFinish)
-}
-
-// Begin decides about an issued or an own key.
-func (s *Service) Begin(b *Begin) Decision {
-	if IsIssued(b.Key) {
-		return s.Keeper.Begin(b)
+	key, ok := parseIssued(f.Key)
+	if !ok {
+		return Finished{}
 	}
-	if s.Own == nil {
-		return Decision{Verdict: VerdictUnknown}
+	held := k.book(key.book())
+	if held == nil {
+		return Finished{}
 	}
-	return s.Own.Begin(b)
+	return held.finish(k.now(), f)
 }
 
-// Finish records the end of an attempt under an issued or an own key.
-func (s *Service) Finish(f *Finish) Finished {
-	if IsIssued(f.Key) {
-		return s.Keeper.Finish(f)
+// book returns the book of a process if it is here.
+func (k *Keeper) book(id bookID) *book {
+	if id == k.own.id {
+		return k.own
 	}
-	if s.Own == nil {
-		return Finished{}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	a := k.adopted[id]
+	if a == nil {
+		return nil
 	}
-	return s.Own.Finish(f)
-}
-
-func (s *Service) handleBegin(_ context.Context, _ host.Identity, decode fleet.Decoder) (any, error) {
-	var b Begin
-	if err := decode(&b); err != nil {
-		return nil, err
+	if k.now().Sub(a.from) > bookLife {
+		a.book, a.got = nil, nil
 	}
-	return s.Begin(&b), nil
+	return a.book
 }
 
-func (s *Service) handleFinish(_ context.Context, _ host.Identity, decode fleet.Decoder) (any, error) {
-	var f Finish
-	if err := decode(&f); err != nil {
-		return nil, err
-	}
-	return s.Finish(&f), nil
+// whereabouts returns the process that took a book over, as far as it is known
+// here.
+func (k *Keeper) whereabouts(id bookID) (host.Identity, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	m, ok := k.moved[id]
+	return m.to, ok
 }
+
+// Count returns the number of records of keys that this process issued.
+func (k *Keeper) Count() int { return k.own.count() }
--- a/internal/idempotency/message.go
+++ b/internal/idempotency/message.go
@@ -11,8 +11,11 @@
 
 // Kinds of messages to keepers.
 const (
-	KindBegin  fleet.Kind = "idempotency.begin"
-	KindFinish fleet.Kind = "idempotency.finish"
+	KindBegin       fleet.Kind = "idempotency.begin"
+	KindFinish      fleet.Kind = "idempotency.finish"
+	KindHandover    fleet.Kind = "idempotency.handover"
+	KindMoved       fleet.Kind = "idempotency.moved"
+	KindOwnHandover fleet.Kind = "idempotency.own-handover"
 )
 
 // Fingerprint identifies the content of a request.
--- a/internal/idempotency/own.go
+++ b/internal/idempotency/own.go
@@ -44,9 +44,11 @@
 	leadership Leadership
 	domains    func() Domains
 
-	mu      sync.Mutex // guards the fields below; never held across I/O
-	records *records
-	term    ownTerm
+	mu        sync.Mutex // guards the fields below; never held across I/O
+	records   *records
+	term      ownTerm
+	closed    uint64 // epoch that was handed over
+	inherited inheritance
 }
 
 // ownTerm is what decides whether a key without a record is certainly unused. It
@@ -78,15 +80,13 @@
 // Begin decides whether an attempt may run. It is unknown unless this host leads
 // the key's home by the failure domains that it knows itself.
 func (k *OwnKeeper) Begin(b *Begin) Decision {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	now := k.now()
 	domains := k.domains()
-	epoch, held := k.leadership.Held(now)
-	if !held || !domains.Fresh {
+	if !k.enter(now, domains) || !domains.Fresh {
 		return Decision{Verdict: VerdictUnknown}
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.term.observe(now, epoch, domains)
 	if home(domains.Names, b.Account, b.Key) != k.self.FailureDomain {
 		return Decision{Verdict: VerdictUnknown}
 	}
@@ -94,6 +94,20 @@
 	return k.records.begin(now, b, now.Add(OwnRetention+b.Term), fresh)
 }
 
+// enter notes the epoch and the failure domains in force. It reports whether
+// this host may decide. The caller holds mu.
+func (k *OwnKeeper) enter(now time.Time, domains Domains) bool {
+	epoch, held := k.leadership.Held(now)
+	if !held || epoch == k.closed {
+		return false
+	}
+	if epoch != k.term.epoch && k.inherited.follows(epoch) {
+		k.inherit(epoch)
+	}
+	k.term.observe(now, epoch, domains)
+	return true
+}
+
 // Finish records the end of an attempt, also after the leadership ended.
 func (k *OwnKeeper) Finish(f *Finish) Finished {
 	k.mu.Lock()
@@ -104,15 +118,9 @@
 // Observe notes the epoch and the failure domains in force, so that a quarantine
 // begins at the event and not at the next request.
 func (k *OwnKeeper) Observe() {
-	now := k.now()
-	domains := k.domains()
-	epoch, held := k.leadership.Held(now)
-	if !held {
-		return
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.term.observe(now, epoch, domains)
+	k.enter(k.now(), k.domains())
 }
 
 // Run observes until ctx ends.
--- a/internal/idempotency/records.go
+++ b/internal/idempotency/records.go
@@ -91,6 +91,15 @@
 	return Decision{Verdict: VerdictRun}
 }
 
+// add takes over a record. Its answer counts towards the bytes kept.
+func (r *records) add(record *Record) {
+	answer := record.Answer
+	record.Answer = nil
+	r.dropAnswer(r.byID[record.ID])
+	r.byID[record.ID] = record
+	r.store(record, answer)
+}
+
 // lapse gives up an attempt that has not reported within its term.
 func (r *Record) lapse(now time.Time) {
 	if r.State == StateStarted && now.After(r.Until) {
