--- a/internal/configuration/inforce.go
+++ b/internal/configuration/inforce.go
@@ -51,9 +51,10 @@
 
 // store replaces the current snapshot. The caller holds mu.
 func (f *InForce) store(s *Snapshot) {
-	previous := f.current.Swap(s)
-	invariant.Check(previous == nil || previous.Revision < s.Revision, invariant.RevisionMonotone,
-		"revision goes from %d to %d", f.Revision(), s.Revision)
+	previous := f.Revision()
+	f.current.Store(s)
+	invariant.Check(previous < s.Revision, invariant.RevisionMonotone,
+		"revision goes from %d to %d", previous, s.Revision)
 	for subscription := range f.subscribers {
 		subscription.notify()
 	}
--- a/internal/distribution/confirm.go
+++ b/internal/distribution/confirm.go
@@ -110,7 +110,7 @@
 		}
 		d.counters.storeFailures.Inc(1)
 		_ = level.Warn(d.config.Logger).Log("msg", "confirmation not written", "revision", c.Revision, "err", err)
-		pause(ctx, jitter(storePause(failures)))
+		pause(ctx, d.random.jitter(storePause(failures)))
 	}
 	return expected
 }
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
@@ -42,6 +43,7 @@
 	Logger     log.Logger       // nil logs nothing
 	Metrics    metrics.Registry // nil counts in a private registry
 	StaleKeys  StaleKeys
+	Seed       uint64 // of the choice of peers and of jitter; derived from Self if zero
 
 	WatchWait    time.Duration // length of one waiting watch
 	RereadPeriod time.Duration // time between reads that make up for lost watches
@@ -75,6 +77,9 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
+	if c.Seed == 0 {
+		c.Seed = xxhash.Sum64String(string(c.Self.ID)) ^ uint64(c.Self.Incarnation)
+	}
 	setDefault(&c.WatchWait, DefaultWatchWait)
 	setDefault(&c.RereadPeriod, DefaultRereadPeriod)
 	setDefault(&c.SyncPeriod, DefaultSyncPeriod)
@@ -100,6 +105,7 @@
 	published  atomic.Pointer[held] // what peers may fetch; nil before the first configuration
 	reports    *duty.Ring[report]
 	counters   counters
+	random     *random
 
 	confirmations *duty.Ring[Confirmation]
 }
@@ -128,6 +134,7 @@
 		state:      newState(),
 		contact:    &contact{started: time.Now()},
 		counters:   newCounters(config.Metrics),
+		random:     newRandom(config.Seed),
 	}
 	d.intake = duty.NewRing(duty.RingOptions[proposal]{
 		Name: "distribution.intake", Capacity: intakeCapacity, Full: duty.DropOldest,
--- a/internal/distribution/sync.go
+++ b/internal/distribution/sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -24,7 +23,7 @@
 		if d.config.InForce.Current() == nil {
 			period = firstSyncPeriod
 		}
-		if !pause(ctx, jitter(period)) {
+		if !pause(ctx, d.random.jitter(period)) {
 			return nil
 		}
 	}
@@ -69,18 +68,13 @@
 			continue
 		}
 		count++
-		if rand.IntN(count) == 0 {
+		if d.random.intN(count) == 0 {
 			chosen = member.Identity
 		}
 	}
 	return chosen, count > 0
 }
 
-// jitter returns a duration between three quarters and five quarters of d.
-func jitter(d time.Duration) time.Duration {
-	return d*3/4 + rand.N(d/2+1)
-}
-
 // pause reports false if ctx ended first.
 func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -54,13 +54,13 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if _, leading := d.config.Leadership.Leading(); !leading {
-			pause(ctx, jitter(leaderPoll))
+			pause(ctx, d.random.jitter(leaderPoll))
 			continue
 		}
 		if err := d.readAndWatch(ctx, f); err != nil && ctx.Err() == nil {
 			d.counters.storeFailures.Inc(1)
 			_ = level.Warn(d.config.Logger).Log("msg", "store not read", "prefix", f.prefix, "err", err)
-			pause(ctx, jitter(storePause(failures)))
+			pause(ctx, d.random.jitter(storePause(failures)))
 			failures++
 			continue
 		}
@@ -86,7 +86,7 @@
 		return err
 	}
 	after := newest(entries, 0)
-	until := sent.Add(jitter(d.config.RereadPeriod))
+	until := sent.Add(d.random.jitter(d.config.RereadPeriod))
 	for ctx.Err() == nil {
 		wait := min(time.Until(until), d.config.WatchWait)
 		if wait <= 0 {
