Run the allotment: holder, leader and admission

Cause: hosts need shares at run time and requests need admission. Change: a duty that renews all shares of a host with one message; a leader duty that keeps the domain's record and documents in the store and divides shares; admission that borrows tokens from peers before it refuses. Tiny budgets are held whole by one domain and one host. Promises of all domains keep extra shares while the store is away. Tested: go test -race -short ./internal/admission ./internal/allotment/...

--- /dev/null
+++ b/internal/admission/account.go
@@ -0,0 +1,120 @@
+package admission
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peridotrail/internal/allotment"
+	"peridotrail/internal/host"
+)
+
+const (
+	demandHalfLifeMin = 2 * time.Second
+	demandHalfLifeMax = 60 * time.Second
+	demandEvents      = 20 // requests that a half-life covers, within its limits
+	demandDigits      = 2  // significant digits that are reported
+	batchTime         = 250 * time.Millisecond
+	reserveTime       = 20 * time.Millisecond
+	maxBatchPart      = 0.25 // of the account's burst
+)
+
+// account is the state of one client account at this host.
+type account struct {
+	name     string
+	attempts atomic.Int64 // since the last measurement of the demand
+
+	mu       sync.Mutex // guards the fields below; never held across I/O
+	bucket   *allotment.Bucket
+	borrowed allotment.Borrowed
+	demand   float64 // requests per second
+	measured time.Time
+	burst    float64 // of the account over the whole fleet
+	flight   *flight // borrowing under way, nil if none
+	retryAt  time.Time
+	backoff  time.Duration
+	lender   host.ID // lent last
+}
+
+// flight is one attempt to borrow, shared by all requests that wait for it.
+type flight struct {
+	done chan struct{}
+}
+
+func newAccount(name string, margin time.Duration) *account {
+	bucket := allotment.NewBucket(margin)
+	bucket.StartLoans(allotment.LoanID(rand.Uint64() >> 1))
+	return &account{name: name, bucket: bucket}
+}
+
+// take spends a token, borrowed ones first.
+func (a *account) take(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.borrowed.Take(now) || a.bucket.Take(now)
+}
+
+// measure folds the attempts since the last call into the demand.
+func (a *account) measure(now time.Time) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	elapsed := now.Sub(a.measured)
+	if a.measured.IsZero() {
+		a.measured = now
+		a.attempts.Store(0)
+		return 0
+	}
+	if elapsed > 0 {
+		rate := float64(a.attempts.Swap(0)) / elapsed.Seconds()
+		keep := math.Exp2(-elapsed.Seconds() / halfLife(a.demand).Seconds())
+		a.demand = a.demand*keep + rate*(1-keep)
+		a.measured = now
+	}
+	return roundDigits(a.demand, demandDigits)
+}
+
+// halfLife returns the half-life of the demand's average: longer for fewer requests.
+func halfLife(demand float64) time.Duration {
+	seconds := demandEvents / math.Max(demand, 1e-3)
+	seconds = math.Max(seconds, demandHalfLifeMin.Seconds())
+	return time.Duration(math.Min(seconds, demandHalfLifeMax.Seconds()) * float64(time.Second))
+}
+
+// roundDigits rounds to significant digits so that small changes are not reported.
+func roundDigits(x float64, digits int) float64 {
+	if x < 0.01 {
+		return 0
+	}
+	scale := math.Pow10(digits - 1 - int(math.Floor(math.Log10(x))))
+	return math.Round(x*scale) / scale
+}
+
+// wanted returns how many tokens to borrow at once: what the present demand
+// spends in batchTime. The caller holds mu.
+func (a *account) wanted(now time.Time) float64 {
+	demand := a.demand
+	if elapsed := now.Sub(a.measured).Seconds(); !a.measured.IsZero() {
+		demand = math.Max(demand, float64(a.attempts.Load())/math.Max(elapsed, batchTime.Seconds()))
+	}
+	batch := math.Ceil(demand * batchTime.Seconds())
+	return math.Max(math.Min(batch, a.burst*maxBatchPart), 1)
+}
+
+// lend gives tokens to another host, apart from a reserve for the own demand.
+func (a *account) lend(now time.Time, want float64) allotment.Loan {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	reserve := a.demand * reserveTime.Seconds()
+	loan, _ := a.bucket.Lend(now, want, reserve, loanTerm)
+	return loan
+}
+
+func (a *account) settle(now time.Time, settlements []allotment.Settlement) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range settlements {
+		a.bucket.Settle(now, s.ID, s.Unspent)
+	}
+}
--- a/internal/allotment/bucket.go
+++ b/internal/allotment/bucket.go
@@ -47,6 +47,10 @@
 	return &Bucket{margin: margin, loans: map[LoanID]given{}}
 }
 
+// StartLoans makes the next loan's number follow id, so that a new bucket of the
+// same account repeats no number.
+func (b *Bucket) StartLoans(id LoanID) { b.lastID = id }
+
 // Share returns the current share.
 func (b *Bucket) Share() Share { return Share{Rate: b.rate, Burst: b.burst} }
 
@@ -175,6 +179,9 @@
 }
 
 func (b *Bucket) expireLoans(now time.Time) {
+	if len(b.loans) == 0 {
+		return
+	}
 	for id, loan := range b.loans {
 		if !now.Before(loan.end) {
 			b.forget(id)
--- a/internal/allotment/division.go
+++ b/internal/allotment/division.go
@@ -12,7 +12,7 @@
 	minHostBurst = 2.0
 	// keepFactor is how much another holder's demand must exceed the present one's
 	// before an undivided whole moves.
-	keepFactor = 2.0
+	keepFactor = 8.0
 )
 
 // claim is one holder's part in a division.
@@ -34,7 +34,7 @@
 		chosen = chosen[:len(chosen)-1]
 	}
 	if len(chosen) == 1 {
-		out[keeper(claims, weights, chosen[0])] = Share{Rate: whole.Rate, Burst: whole.Burst}
+		out[keeper(claims, chosen[0])] = Share{Rate: whole.Rate, Burst: whole.Burst}
 		return out
 	}
 	total := sumOf(weights, chosen)
@@ -88,14 +88,14 @@
 
 // keeper returns the present holder of most of the rate unless the demand at
 // best is far higher.
-func keeper(claims []claim, weights []float64, best int) int {
+func keeper(claims []claim, best int) int {
 	present := best
 	for i, c := range claims {
 		if c.current.Rate > claims[present].current.Rate {
 			present = i
 		}
 	}
-	if claims[present].current.Rate > 0 && weights[best] <= keepFactor*weights[present] {
+	if claims[present].current.Rate > 0 && claims[best].demand <= keepFactor*claims[present].demand {
 		return present
 	}
 	return best
--- a/internal/allotment/domain.go
+++ b/internal/allotment/domain.go
@@ -52,15 +52,13 @@
 	rules    rules
 }
 
-// NewDomainAllotment returns the aggregate of a leader that starts now. Fresh
-// says that no leader of the domain ever gave out a share; otherwise shares that
-// no host reports are given out only after the longest term.
-func NewDomainAllotment(now time.Time, epoch uint64, fresh bool, terms Terms) *DomainAllotment {
+// NewDomainAllotment returns the aggregate of a leader that starts now. Shares
+// that no host reports are given out only after the longest term.
+func NewDomainAllotment(now time.Time, epoch uint64, terms Terms) *DomainAllotment {
 	return &DomainAllotment{
 		epoch:   epoch,
 		terms:   terms,
 		start:   now,
-		fresh:   fresh,
 		holders: map[holderKey]*holder{},
 		wholes:  map[Resource]Share{},
 		assured: map[Resource]Share{},
@@ -72,6 +70,13 @@
 // Epoch returns the epoch of the leadership.
 func (d *DomainAllotment) Epoch() uint64 { return d.epoch }
 
+// SetFresh says that no process held a share when this leadership began, so that
+// all may be given out at once.
+func (d *DomainAllotment) SetFresh() { d.fresh = true }
+
+// SetHold raises the time that a silent holder's slots stay in use.
+func (d *DomainAllotment) SetHold(hold time.Duration) { d.terms.Hold = max(d.terms.Hold, hold) }
+
 // Open reports whether all shares of former leaders of r are reported or over.
 func (d *DomainAllotment) Open(now time.Time, r Resource) bool {
 	if d.fresh || d.rules.openWithoutWait {
@@ -205,7 +210,8 @@
 		if report.Share.IsZero() || d.Open(now, report.Resource) && !d.rules.openWithoutWait {
 			continue
 		}
-		d.beyond = true
+		_, account := report.Resource.Account()
+		d.beyond = d.beyond || account
 		e := h.entry(report.Resource)
 		e.confirmed = report.Share
 		e.sequence = h.sequence
--- a/internal/allotment/domain_model_test.go
+++ b/internal/allotment/domain_model_test.go
@@ -129,7 +129,10 @@
 	}
 	l := &leaderProc{skew: skew, leaseEnd: m.now.Add(modelLease)}
 	terms := Terms{Term: modelTerm, Margin: modelMargin, Hold: modelHold}
-	l.allotment = NewDomainAllotment(l.local(m.now), uint64(len(m.leaders)+1), len(m.leaders) == 0, terms)
+	l.allotment = NewDomainAllotment(l.local(m.now), uint64(len(m.leaders)+1), terms)
+	if len(m.leaders) == 0 {
+		l.allotment.SetFresh()
+	}
 	l.allotment.rules = m.rules
 	for r, whole := range m.inForce {
 		l.allotment.SetWhole(r, whole, whole)
--- a/internal/allotment/domainobserver.go
+++ b/internal/allotment/domainobserver.go
@@ -1,10 +1,10 @@
 package allotment
 
 import (
-	"maps"
 	"slices"
 	"time"
 
+	"peridotrail/internal/host"
 	"peridotrail/internal/platform"
 )
 
@@ -70,6 +70,9 @@
 	return out
 }
 
+// Leader returns the host that leads another domain, as far as it is known.
+func (o *DomainObserver) Leader(domain string) host.ID { return o.records[domain].record.Leader }
+
 // Promise binds this leader not to end the domain's extra shares for the term,
 // and returns false if it cannot. The caller must still be leader at now.
 func (o *DomainObserver) Promise(now time.Time, domain string, generation uint64) bool {
@@ -133,6 +136,3 @@
 	}
 	return nil
 }
-
-// Domains returns the domains that have a record, sorted.
-func (o *DomainObserver) Domains() []string { return slices.Sorted(maps.Keys(o.records)) }
--- a/internal/allotment/domainrecord.go
+++ b/internal/allotment/domainrecord.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"peridotrail/internal/host"
 	"peridotrail/internal/platform"
 )
 
@@ -28,6 +29,8 @@
 	Peers []string `cbor:"5,keyasint,omitempty"`
 	// Returned says that no process of the domain holds a share.
 	Returned bool `cbor:"6,keyasint,omitempty"`
+	// Leader is the host that leads the domain.
+	Leader host.ID `cbor:"7,keyasint,omitempty"`
 }
 
 // DecodeDomainRecord reads a store value.
@@ -60,12 +63,14 @@
 	until    time.Time
 	pending  *pendingRecord
 	stale    bool // a newer leader renewed the record
+	fresh    bool // this leader's first write found that no share was given out
 }
 
 type pendingRecord struct {
 	record DomainRecord
 	sent   time.Time
 	write  platform.Write
+	fresh  bool // the record that it replaces says that no share is given out
 	lost   bool // an answer was lost; a later refusal does not settle the write
 }
 
@@ -77,9 +82,10 @@
 // Loaded reports whether the record has been read.
 func (t *DomainTerm) Loaded() bool { return t.loaded }
 
-// Fresh reports whether the domain's processes surely hold no share: there never
-// was a record, or a former leader wrote that all came back.
-func (t *DomainTerm) Fresh() bool { return t.loaded && (t.revision == 0 || t.record.Returned) }
+// Fresh reports whether this leader took the record over in a state that says
+// that no process of the domain holds a share: there never was a record, or a
+// former leader wrote that all shares came back.
+func (t *DomainTerm) Fresh() bool { return t.fresh }
 
 // Owned reports whether the record names this leader's epoch.
 func (t *DomainTerm) Owned() bool { return t.loaded && t.revision != 0 && t.record.Epoch == t.epoch }
@@ -138,6 +144,7 @@
 	t.record, t.revision = record, entry.Revision
 	if t.pending != nil && t.pending.record.Operation == record.Operation && !t.stale {
 		t.extend(t.pending.sent.Add(t.term))
+		t.fresh = t.fresh || t.pending.fresh
 	}
 	t.pending = nil
 	return nil
@@ -145,7 +152,7 @@
 
 // Renew returns the next write of the record. Returned says that no process of
 // the domain holds a share any more.
-func (t *DomainTerm) Renew(now time.Time, peers []string, operation string, returned bool) (platform.Write, bool) {
+func (t *DomainTerm) Renew(now time.Time, leader host.ID, peers []string, operation string, returned bool) (platform.Write, bool) {
 	if !t.loaded || t.stale {
 		return platform.Write{}, false
 	}
@@ -159,13 +166,15 @@
 		Operation:  operation,
 		Peers:      slices.Clone(peers),
 		Returned:   returned,
+		Leader:     leader,
 	}
 	value, err := next.Encode()
 	if err != nil {
 		return platform.Write{}, false
 	}
 	write := platform.Write{Key: DomainKey(t.domain), Value: value, Expected: t.revision}
-	t.pending = &pendingRecord{record: next, sent: now, write: write}
+	fresh := t.revision == 0 || t.record.Returned && t.record.Epoch < t.epoch
+	t.pending = &pendingRecord{record: next, sent: now, write: write, fresh: fresh}
 	return write, true
 }
 
--- a/internal/allotment/fleet_model_test.go
+++ b/internal/allotment/fleet_model_test.go
@@ -100,6 +100,9 @@
 	l.observer.rules = m.base.rules
 	l.view = NewFleetView(d.name, DocumentOf("large"))
 	l.view.rules = m.base.rules
+	terms := Terms{Term: modelTerm, Margin: modelMargin, Hold: modelHold}
+	l.hosts = NewDomainAllotment(now, l.epoch, terms)
+	l.hosts.rules = m.base.rules
 	d.leaders = append(d.leaders, l)
 }
 
@@ -173,13 +176,7 @@
 	for _, d := range m.domains {
 		_ = l.observer.Observe(m.local(l), d.name, m.get(DomainKey(d.name), lag))
 	}
-	first := !l.term.Loaded()
 	_ = l.term.Observe(m.get(DomainKey(l.domain.name), 0))
-	if first {
-		terms := Terms{Term: modelTerm, Margin: modelMargin, Hold: modelHold}
-		l.hosts = NewDomainAllotment(m.local(l), l.epoch, l.term.Fresh(), terms)
-		l.hosts.rules = m.base.rules
-	}
 }
 
 func (m *fleetModel) renewRecord(l *fleetLeader, fate int) {
@@ -189,7 +186,7 @@
 			peers = append(peers, d.name)
 		}
 	}
-	if w, ok := l.term.Renew(m.local(l), peers, m.operation(), false); ok {
+	if w, ok := l.term.Renew(m.local(l), l.domain.host.id.ID, peers, m.operation(), false); ok {
 		m.write(l, w, fate, func(e platform.Entry, err error) { _ = l.term.Finish(e, err) })
 	}
 }
@@ -222,7 +219,7 @@
 }
 
 func (m *fleetModel) ready(l *fleetLeader) bool {
-	return m.leads(l) && l.hosts != nil && l.term.Owned() && l.view.Loaded()
+	return m.leads(l) && l.term.Owned() && l.view.Loaded()
 }
 
 func (m *fleetModel) plan(l *fleetLeader, fate int) {
@@ -242,6 +239,9 @@
 	whole, assured := l.view.Usable("large", l.term.Generation(), m.extraValid(l))
 	l.hosts.SetWhole(modelLarge, whole, assured)
 	l.hosts.SetEnd(l.term.Until())
+	if l.term.Fresh() {
+		l.hosts.SetFresh()
+	}
 	if l.view.Fenced(l.epoch) {
 		l.hosts.Fence(modelLarge)
 	}
@@ -296,14 +296,14 @@
 
 func (m *fleetModel) renewHost(d *fleetDomain, p *proc, lucky int) {
 	l := d.leader()
-	if l.hosts == nil || p.paused || l.epoch < p.shares.Epoch() {
+	if p.paused || l.epoch < p.shares.Epoch() {
 		return
 	}
 	p.shares.Observe(l.epoch)
 	m.base.change(p, p.shares.Expire(m.base.local(p)))
 	request := p.shares.Request(m.base.local(p), []Resource{modelLarge}, func(r Resource) Usage { return m.base.usage(p, r) })
 	m.base.send(func() {
-		if !m.ready(l) {
+		if !m.leads(l) {
 			return
 		}
 		answer := l.hosts.Renew(m.local(l), p.id, request)
@@ -338,7 +338,7 @@
 			m.read(l, take(4))
 		}
 	case 8:
-		if m.leads(l) && l.hosts != nil {
+		if m.leads(l) {
 			m.renewRecord(l, fate)
 		}
 	case 9:
@@ -371,9 +371,6 @@
 	}
 	l.leaseEnd = m.extendLease(l)
 	m.read(l, 0)
-	if l.hosts == nil {
-		return
-	}
 	m.renewRecord(l, fate)
 	m.divide(l)
 	m.renewHost(d, d.host, 2)
--- a/internal/allotment/fleetplan.go
+++ b/internal/allotment/fleetplan.go
@@ -12,6 +12,7 @@
 const (
 	demandFraction = 0.25 // of the published demand
 	demandMinimum  = 0.02 // of the account's rate
+	minDomainBurst = 4.0  // smallest burst worth a share of a domain, in requests
 	excessFraction = 0.02 // of a share, given up beyond the excess
 )
 
@@ -95,14 +96,13 @@
 	}
 }
 
-// create divides a new account equally; each domain owns its part.
+// create divides a new account equally; each domain owns its part. A burst that is
+// too small for that belongs to fewer domains.
 func (p *planner) create(account Account) FleetAccount {
 	a := FleetAccount{Account: account.Name, Revision: p.in.Revision, Target: account.Whole, InForce: account.Whole}
-	for _, domain := range p.in.Domains {
-		a.Domains = append(a.Domains, DomainShare{
-			Domain: domain,
-			Floor:  account.Whole.Scale(1 / float64(len(p.in.Domains))),
-		})
+	parts := divideRate(account.Whole, make([]claim, len(p.in.Domains)), minDomainBurst)
+	for i, domain := range p.in.Domains {
+		a.Domains = append(a.Domains, DomainShare{Domain: domain, Floor: parts[i]})
 	}
 	return a
 }
@@ -178,9 +178,9 @@
 			demand = own.Demand
 			position = i
 		}
-		claims = append(claims, claim{demand: demand})
+		claims = append(claims, claim{demand: demand, current: a.Domain(domain).Total()})
 	}
-	return a.Target.Scale(demandWeights(claims)[position])
+	return divideRate(a.Target, claims, minDomainBurst)[position]
 }
 
 // shrink lowers the own share to what is wanted, in two steps: the plan's cap
--- /dev/null
+++ b/internal/allotment/leader/reign.go
@@ -0,0 +1,276 @@
+package leader
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"peridotrail/internal/allotment"
+	"peridotrail/internal/configuration"
+	"peridotrail/internal/host"
+	"peridotrail/internal/platform"
+)
+
+// reign is the state of one epoch of the leadership. The Leader's mutex guards it.
+type reign struct {
+	options  Options
+	epoch    uint64
+	cancel   context.CancelFunc
+	closed   bool // no further renewals
+	read     bool // the store was read completely
+	term     *allotment.DomainTerm
+	observer *allotment.DomainObserver
+	views    []*allotment.FleetView
+	hosts    *allotment.DomainAllotment
+	accounts map[string]struct{} // with a share in hosts
+	// upstreams of the last configuration
+	upstreams map[string]struct{}
+}
+
+func newReign(o Options, epoch uint64, cancel context.CancelFunc) *reign {
+	now := o.Now()
+	t := o.Timing
+	r := &reign{
+		options:   o,
+		epoch:     epoch,
+		cancel:    cancel,
+		term:      allotment.NewDomainTerm(o.Self.FailureDomain, epoch, t.DomainTerm),
+		observer:  allotment.NewDomainObserver(now, o.Self.FailureDomain, t.DomainTerm, t.Margin),
+		hosts:     allotment.NewDomainAllotment(now, epoch, allotment.Terms{Term: t.HostTerm, Margin: t.Margin, Hold: defaultHold}),
+		accounts:  map[string]struct{}{},
+		upstreams: map[string]struct{}{},
+	}
+	for i := range allotment.DocumentCount {
+		r.views = append(r.views, allotment.NewFleetView(o.Self.FailureDomain, i))
+	}
+	return r
+}
+
+func (r *reign) stop() { r.cancel() }
+
+// ready reports whether shares may be divided: the store has been read, and the
+// domain's record names this epoch.
+func (r *reign) ready() bool { return r.read && r.term.Owned() }
+
+// observe takes an entry of the store.
+func (r *reign) observe(now time.Time, entry platform.Entry) error {
+	if domain, ok := allotment.DomainOfKey(entry.Key); ok {
+		if domain == r.options.Self.FailureDomain {
+			return r.term.Observe(entry)
+		}
+		return r.observer.Observe(now, domain, entry)
+	}
+	if index, ok := allotment.DocumentIndex(entry.Key); ok {
+		return r.views[index].Observe(entry)
+	}
+	return nil
+}
+
+// extraValid reports whether the domain's extra shares outlast a host's term.
+func (r *reign) extraValid(now time.Time) bool {
+	return now.Add(r.options.Timing.HostTerm).Before(r.term.Until())
+}
+
+// divide passes the domain's shares on to its hosts.
+func (r *reign) divide(now time.Time, snapshot *configuration.Snapshot) {
+	if snapshot == nil || !r.ready() || r.closed {
+		return
+	}
+	if r.term.Fresh() {
+		r.hosts.SetFresh()
+	}
+	r.hosts.SetEnd(r.term.Until())
+	r.setAccounts(now, snapshot)
+	r.setUpstreams(snapshot)
+	r.hosts.Divide(now)
+}
+
+// setAccounts takes the domain's share of each account from the documents.
+func (r *reign) setAccounts(now time.Time, snapshot *configuration.Snapshot) {
+	extra := r.extraValid(now)
+	seen := map[string]struct{}{}
+	for _, view := range r.views {
+		fenced := view.Fenced(r.epoch)
+		for _, a := range view.Document().Accounts {
+			resource := allotment.AccountResource(a.Account)
+			whole, assured := view.Usable(a.Account, r.term.Generation(), extra)
+			if dead(snapshot, r.options.Self.FailureDomain) {
+				whole, assured = allotment.Share{}, allotment.Share{}
+			}
+			r.hosts.SetWhole(resource, whole, assured)
+			if fenced {
+				r.hosts.Fence(resource)
+			}
+			seen[a.Account] = struct{}{}
+		}
+	}
+	for name := range r.accounts {
+		if _, ok := seen[name]; !ok {
+			r.hosts.SetWhole(allotment.AccountResource(name), allotment.Share{}, allotment.Share{})
+		}
+	}
+	r.accounts = seen
+}
+
+// setUpstreams takes the slots and connections of the domain's upstreams from the
+// configuration.
+func (r *reign) setUpstreams(snapshot *configuration.Snapshot) {
+	seen := map[string]struct{}{}
+	for _, u := range snapshot.Upstreams {
+		if u.FailureDomain != r.options.Self.FailureDomain {
+			continue
+		}
+		resource := allotment.UpstreamResource(u.Name)
+		whole := allotment.Share{Slots: u.Slots, Connections: u.Connections}
+		r.hosts.SetWhole(resource, whole, whole)
+		r.hosts.Fence(resource)
+		seen[u.Name] = struct{}{}
+	}
+	for name := range r.upstreams {
+		if _, ok := seen[name]; !ok {
+			r.hosts.SetWhole(allotment.UpstreamResource(name), allotment.Share{}, allotment.Share{})
+		}
+	}
+	r.upstreams = seen
+	for _, s := range snapshot.Services {
+		r.hosts.SetHold(s.MaxDeadline.Std())
+	}
+}
+
+func dead(snapshot *configuration.Snapshot, domain string) bool {
+	d := snapshot.Domain(domain)
+	return d != nil && d.Dead
+}
+
+// peers returns the other domains whose leaders may end this domain's extra shares.
+func (r *reign) peers(snapshot *configuration.Snapshot) []string {
+	var peers []string
+	for _, d := range snapshot.FailureDomains {
+		if d.Name != r.options.Self.FailureDomain && !d.Dead {
+			peers = append(peers, d.Name)
+		}
+	}
+	return peers
+}
+
+// input returns what a document is planned from.
+func (r *reign) input(now time.Time, snapshot *configuration.Snapshot, index int) allotment.FleetInput {
+	in := allotment.FleetInput{
+		Domain:        r.options.Self.FailureDomain,
+		Epoch:         r.epoch,
+		Generation:    r.term.Generation(),
+		Revision:      uint64(snapshot.Revision),
+		Generations:   r.observer.Generations(),
+		FloorFraction: r.options.FloorFraction,
+		ExtraValid:    r.extraValid(now),
+		Demand: func(account string) float64 {
+			return r.hosts.Demand(now, allotment.AccountResource(account))
+		},
+		InEffect: func(account string, limit allotment.Share) bool {
+			return r.hosts.InEffect(now, allotment.AccountResource(account), limit)
+		},
+	}
+	in.Generations[in.Domain] = in.Generation
+	for _, a := range snapshot.ClientAccounts {
+		if allotment.DocumentOf(a.Name) == index {
+			whole := allotment.Share{Rate: a.Rate, Burst: float64(a.Burst)}
+			in.Accounts = append(in.Accounts, allotment.Account{Name: a.Name, Whole: whole})
+		}
+	}
+	for _, d := range snapshot.FailureDomains {
+		if d.Dead {
+			in.Dead = append(in.Dead, d.Name)
+		} else {
+			in.Domains = append(in.Domains, d.Name)
+		}
+	}
+	slices.Sort(in.Domains)
+	return in
+}
+
+// plan returns the writes of documents that are due.
+func (r *reign) plan(now time.Time, snapshot *configuration.Snapshot, operation func() string) map[int]platform.Write {
+	writes := map[int]platform.Write{}
+	for i, view := range r.views {
+		if !view.Loaded() {
+			continue
+		}
+		in := r.input(now, snapshot, i)
+		if len(in.Accounts) == 0 && len(view.Document().Accounts) == 0 {
+			continue
+		}
+		if write, ok := view.Plan(in, operation()); ok {
+			writes[i] = write
+		}
+	}
+	return writes
+}
+
+// fences returns the writes that end extra shares of silent domains.
+func (r *reign) fences(now time.Time, operation func() string) map[string]platform.Write {
+	writes := map[string]platform.Write{}
+	generations := r.observer.Generations()
+	for _, domain := range r.observer.Expired(now) {
+		if !r.hasExtra(domain, generations[domain]) {
+			continue
+		}
+		if write, ok := r.observer.Fence(domain, operation()); ok {
+			writes[domain] = write
+		}
+	}
+	return writes
+}
+
+func (r *reign) hasExtra(domain string, generation uint64) bool {
+	for _, view := range r.views {
+		for _, a := range view.Document().Accounts {
+			share := a.Domain(domain)
+			if !share.Extra.IsZero() && share.Generation == generation {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// keys returns all store keys that a reign reads, to learn which do not exist.
+func (r *reign) keys() map[string]struct{} {
+	keys := map[string]struct{}{allotment.DomainKey(r.options.Self.FailureDomain): {}}
+	for i := range r.views {
+		keys[allotment.DocumentKey(i)] = struct{}{}
+	}
+	return keys
+}
+
+const (
+	nearLenders = 2 // suggested hosts of the own domain
+	farLenders  = 2 // suggested leaders of other domains
+)
+
+// lenders returns hosts of the domain with the largest surplus, then leaders of
+// other domains with the largest surplus.
+func (r *reign) lenders(now time.Time, account string, borrower host.ID) []host.ID {
+	near := r.hosts.Lenders(now, allotment.AccountResource(account), borrower)
+	ids := near[:min(len(near), nearLenders)]
+	a := r.views[allotment.DocumentOf(account)].Document().Account(account)
+	if a == nil {
+		return ids
+	}
+	shares := slices.Clone(a.Domains)
+	slices.SortStableFunc(shares, func(x, y allotment.DomainShare) int {
+		return cmp.Compare(y.Total().Rate-y.Demand, x.Total().Rate-x.Demand)
+	})
+	far := 0
+	for _, share := range shares {
+		id := r.observer.Leader(share.Domain)
+		if share.Domain == r.options.Self.FailureDomain || id == "" || id == borrower || share.Total().IsZero() {
+			continue
+		}
+		if far++; far > farLenders {
+			break
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
