--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -115,6 +115,7 @@
 	fetchedBytes  metrics.Counter
 	fetchFailures metrics.Counter
 	storeFailures metrics.Counter
+	storeBehind   metrics.Counter // readings of a root that is older than what is in force
 	pushes        metrics.Counter
 	pushFailures  metrics.Counter
 }
@@ -163,6 +164,7 @@
 		fetchedBytes:  metrics.GetOrRegisterCounter("distribution.fetched.bytes", registry),
 		fetchFailures: metrics.GetOrRegisterCounter("distribution.fetch.failures", registry),
 		storeFailures: metrics.GetOrRegisterCounter("distribution.store.failures", registry),
+		storeBehind:   metrics.GetOrRegisterCounter("distribution.store.behind", registry),
 		pushes:        metrics.GetOrRegisterCounter("distribution.pushes", registry),
 		pushFailures:  metrics.GetOrRegisterCounter("distribution.push.failures", registry),
 	}
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +10,8 @@
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/fleet/fleettest"
 	"peridotrail/internal/host"
+	"peridotrail/internal/invariant"
+	"peridotrail/internal/platform"
 )
 
 // inForceLimit is the time in which an accepted configuration must be in force.
@@ -217,3 +220,29 @@
 		require.Less(t, fetched, before/5, "only changed chunks are fetched")
 	})
 }
+
+func TestStoreThatHasLostDataIsNoticed(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		var violations atomic.Int64
+		t.Cleanup(invariant.SetHandler(func(*invariant.Violation) { violations.Add(1) }))
+		c := newCluster(t, 1, "a")
+		c.commit(nil, "one")
+		c.everywhere(c.commit(nil, "two"), inForceLimit)
+		leader := c.hosts["a-0"]
+
+		root, err := c.store.Get(t.Context(), configuration.RootKey)
+		require.NoError(t, err)
+		_, err = c.store.CompareAndSwap(t.Context(), platform.Write{Key: root.Key, Expected: root.Revision, Delete: true})
+		require.NoError(t, err)
+		c.commit(nil, "other")
+		time.Sleep(2 * inForceLimit)
+		require.Equal(t, configuration.Revision(2), leader.inForce.Revision())
+		require.Positive(t, leader.counters.storeBehind.Count())
+		require.Zero(t, violations.Load())
+
+		c.commit(nil, "third")
+		time.Sleep(2 * inForceLimit)
+		require.Positive(t, violations.Load(), "revision 2 exists twice")
+		require.Equal(t, "two", leader.inForce.Current().Regions[0].Name)
+	})
+}
--- a/internal/distribution/intake.go
+++ b/internal/distribution/intake.go
@@ -9,6 +9,7 @@
 
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/host"
+	"peridotrail/internal/invariant"
 )
 
 // source is where the chunks of a proposed configuration are fetched.
@@ -47,12 +48,30 @@
 	if err != nil {
 		return err
 	}
-	if manifest.Revision <= d.config.InForce.Revision() {
+	if !d.isNewer(manifest, from) {
 		return nil
 	}
 	return d.intake.Push(ctx, proposal{manifest: manifest, encoded: encoded, from: from})
 }
 
+// isNewer reports whether the manifest is newer than the configuration in force.
+// A store that is behind, because it has lost data, is logged and counted.
+func (d *Distributor) isNewer(manifest *configuration.Manifest, from source) bool {
+	current := d.config.InForce.Current()
+	if current == nil || manifest.Revision > current.Revision {
+		return true
+	}
+	same := manifest.Revision < current.Revision || manifest.Digest == current.Digest
+	invariant.Check(same, invariant.RevisionMonotone,
+		"revision %d has digest %s in force and %s at %s", current.Revision, current.Digest, manifest.Digest, from)
+	if from.store && manifest.Revision < current.Revision {
+		d.counters.storeBehind.Inc(1)
+		_ = level.Error(d.config.Logger).Log("msg", "the store holds a lower revision than is in force",
+			"stored", manifest.Revision, "inForce", current.Revision)
+	}
+	return false
+}
+
 // runIntake fetches and assembles proposed configurations, one after the other.
 // It owns the assembler.
 func (d *Distributor) runIntake(ctx context.Context) error {
