--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -27,8 +28,9 @@
 
 // Options configures a Fleet.
 type Options struct {
-	Configuration *configuration.Configuration // committed before the hosts start
+	Configuration *configuration.Configuration // committed before the hosts start; none if nil
 	Domains       []string                     // failure domain of each host
+	Regions       map[string]string            // region of each failure domain; from Configuration if nil
 	Delay         network.DelayFunc            // between failure domains; none if nil
 	Notice        time.Duration                // of a graceful shutdown
 	Grace         time.Duration                // of a graceful shutdown
@@ -109,13 +111,21 @@
 		authority: authority,
 	}
 	f.Repository = configuration.NewRepository(configuration.RepositoryConfig{Store: f.Store})
-	if _, err := f.Repository.Commit(ctx, 0, options.Configuration); err != nil {
-		return nil, err
+	if options.Configuration != nil {
+		if err := f.commitFirst(ctx, options.Configuration); err != nil {
+			return nil, err
+		}
 	}
-	for _, domain := range options.Configuration.FailureDomains {
+	maps.Copy(f.regions, options.Regions)
+	return f, f.join()
+}
+
+func (f *Fleet) commitFirst(ctx context.Context, c *configuration.Configuration) error {
+	for _, domain := range c.FailureDomains {
 		f.regions[domain.Name] = domain.Region
 	}
-	return f, f.join()
+	_, err := f.Repository.Commit(ctx, 0, c)
+	return err
 }
 
 // join opens the ports of all hosts and publishes the platform's list of hosts.
