--- a/internal/entry/front_door.go
+++ b/internal/entry/front_door.go
@@ -34,6 +34,7 @@
 	Logger      log.Logger       // JSON lines; optional
 	AccessLog   bool             // log each request at debug level
 	Metrics     metrics.Registry // optional
+	Ended       func(Ended)      // called after each request for a service; optional
 }
 
 // FrontDoor serves the requests of callers. It is safe for concurrent use.
@@ -114,6 +115,9 @@
 		x.payload.Release()
 	}
 	f.metrics.observe(x, time.Since(x.start))
+	if f.options.Ended != nil && x.service != nil && !x.relayed {
+		f.options.Ended(x.ended(w.status))
+	}
 	if f.options.AccessLog {
 		f.logAccess(w, r, x)
 	}
