--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,3 +97,6 @@
 	h.front.run(h.group)
 	h.admin.run(h.group)
 }
+
+// Traffic returns the bytes exchanged with other hosts since the start.
+func (h *Host) Traffic() fleet.Traffic { return h.transport.Traffic() }
--- a/internal/daemon/front.go
+++ b/internal/daemon/front.go
@@ -12,6 +12,7 @@
 	"peridotrail/internal/entry/forward"
 	"peridotrail/internal/fleet/relay"
 	"peridotrail/internal/host"
+	"peridotrail/internal/servicelevel"
 	"peridotrail/internal/steering"
 	"peridotrail/internal/upstream"
 )
@@ -22,6 +23,7 @@
 	dispatcher *upstream.Dispatcher
 	lookups    *steering.Service
 	active     *clientaccount.Active
+	once       *once
 	door       *entry.FrontDoor
 	server     *entry.Server
 }
@@ -46,16 +48,19 @@
 		Documents:     h.state.distributor.State().List,
 		Metrics:       h.options.Metrics,
 	})
+	f.once = newOnce(h.state)
 	f.door = entry.New(entry.Options{
-		Self:       h.self,
-		Policy:     entry.SnapshotPolicy(h.inForce.Current),
-		Active:     f.active,
-		Admitter:   h.state.admitter,
-		Dispatcher: entry.UpstreamDispatcher(f.dispatcher),
-		API:        f.api(),
-		Logger:     h.logger,
-		AccessLog:  h.options.Settings.Log.Level == "debug",
-		Metrics:    h.options.Metrics,
+		Self:        h.self,
+		Policy:      entry.SnapshotPolicy(h.inForce.Current),
+		Active:      f.active,
+		Admitter:    admitter{state: h.state},
+		Dispatcher:  entry.UpstreamDispatcher(f.dispatcher),
+		Idempotency: f.once.client,
+		API:         f.api(),
+		Logger:      h.logger,
+		AccessLog:   h.options.Settings.Log.Level == "debug",
+		Metrics:     h.options.Metrics,
+		Ended:       f.ended,
 	})
 	relays := &relay.Server{Handler: f.door.RelayHandler(), Logger: h.logger, Metrics: h.options.Metrics}
 	relays.Register(h.transport)
@@ -75,6 +80,8 @@
 	group.GoUnwatched("probes", f.dispatcher.RunProbes)
 	group.GoUnwatched("look-ups", f.lookups.Run)
 	group.GoUnwatched("key-withdrawal", f.withdrawKeys)
+	group.GoUnwatched("idempotency", f.once.run)
+	group.GoUnwatched("shifts", f.shifts().Run)
 	group.GoUnwatched("entry", func(ctx context.Context) error {
 		if err := f.server.Serve(f.host.listeners.entry); err != nil {
 			return err
@@ -84,6 +91,26 @@
 	})
 }
 
+// shifts makes the steps of the shifts out of this failure domain.
+func (f *front) shifts() *steering.ShiftDuty {
+	h := f.host
+	return steering.NewShiftDuty(steering.ShiftOptions{
+		Self:          h.self,
+		Store:         h.options.Store,
+		Configuration: h.inForce.Current,
+		Leading:       h.state.leaders.Leading,
+		Measure:       h.state.measure,
+	})
+}
+
+// ended counts a request towards the service-level objectives.
+func (f *front) ended(e entry.Ended) {
+	if e.CallerFault {
+		return
+	}
+	f.host.state.burn.Record(servicelevel.Outcome{Service: e.Service, Account: e.Account, Good: e.Good, Latency: e.Latency})
+}
+
 // withdrawKeys ends the requests of keys that the configuration holds no more.
 func (f *front) withdrawKeys(ctx context.Context) error {
 	enforcer := &clientaccount.Enforcer{
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"peridotrail/internal/host"
 	"peridotrail/internal/membership"
 	"peridotrail/internal/steering"
@@ -70,3 +72,35 @@
 	}
 	return host.StateLive
 }
+
+// measure sums up what is known of a failure domain, for shifts.
+func (s *state) measure(domain string) steering.Measure {
+	now := time.Now()
+	m := steering.Measure{FreeSlots: map[string]int{}, Slots: map[string]int{}, At: now}
+	for _, u := range s.host.configuration().Upstreams {
+		if u.FailureDomain == domain {
+			m.Slots[u.Service] += u.Slots
+		}
+	}
+	for _, h := range s.steeringHosts() {
+		if h.Identity.FailureDomain != domain || h.State != host.StateLive {
+			continue
+		}
+		m.LiveHosts++
+		for service, free := range h.FreeSlots {
+			m.FreeSlots[service] += free
+		}
+	}
+	view := s.members.View()
+	for _, digest := range view.Remote {
+		if digest.Domain == domain {
+			m.At = digest.Received
+		}
+	}
+	for _, digest := range view.Digests {
+		if digest.Identity.FailureDomain == domain && digest.Received.Before(m.At) {
+			m.At = digest.Received
+		}
+	}
+	return m
+}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -9,8 +9,11 @@
 	"peridotrail/internal/membership"
 )
 
-// Ready reports whether the host has a configuration in force.
-func (h *Host) Ready() bool { return h.inForce.Current() != nil }
+// Ready reports whether the host has a configuration in force and shares of the
+// limits.
+func (h *Host) Ready() bool {
+	return h.inForce.Current() != nil && h.state.admitter.Ready(time.Now())
+}
 
 // Status returns the state of the fleet as this host sees it.
 func (h *Host) Status(now time.Time) api.StatusAnswer {
--- /dev/null
+++ b/test/capacity/fleets.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"syscall"
+	"time"
+
+	"peridotrail/internal/configuration"
+	"peridotrail/internal/localfleet"
+)
+
+// size is a fleet to measure.
+type size struct {
+	domains int
+	hosts   int // in each failure domain
+}
+
+// sizes vary the hosts of a domain with the number of domains held, and the
+// number of domains with their hosts held.
+var sizes = []size{
+	{domains: 2, hosts: 5}, {domains: 2, hosts: 10}, {domains: 2, hosts: 20}, {domains: 2, hosts: 40},
+	{domains: 4, hosts: 5}, {domains: 8, hosts: 5}, {domains: 11, hosts: 5},
+}
+
+const (
+	servicesPerFleet = 4
+	accountsPerFleet = 8
+	slotsPerUpstream = 8
+	readyTimeout     = 60 * time.Second
+	applies          = 5
+	applyPause       = 300 * time.Millisecond
+	inForcePoll      = 5 * time.Millisecond
+)
+
+// sample is what one fleet costs. Rates are per second.
+type sample struct {
+	size
+	bytesSent     float64 // a host
+	bytesReceived float64 // a host
+	cpu           float64 // of a core, a host
+	heap          float64 // bytes, a host
+	storeReads    float64 // the whole fleet
+	storeWrites   float64 // the whole fleet
+	inForce       time.Duration
+}
+
+func measureFleets(ctx context.Context, settle, length time.Duration) ([]sample, error) {
+	var samples []sample
+	for _, s := range sizes {
+		fmt.Printf("measuring %d failure domains of %d hosts\n", s.domains, s.hosts)
+		measured, err := measureFleet(ctx, s, settle, length)
+		if err != nil {
+			return nil, err
+		}
+		fmt.Printf("  sent %.0f B/s, received %.0f B/s, cpu %.3f%%, heap %.1f MB a host; store reads %.1f/s, writes %.1f/s; in force after %s\n",
+			measured.bytesSent, measured.bytesReceived, 100*measured.cpu, measured.heap/1e6, measured.storeReads, measured.storeWrites, measured.inForce)
+		samples = append(samples, measured)
+	}
+	return samples, nil
+}
+
+func measureFleet(ctx context.Context, s size, settle, length time.Duration) (sample, error) {
+	result := sample{size: s}
+	base := heapInUse()
+	options := localfleet.Options{Configuration: fleetConfiguration(s), Grace: time.Second}
+	for d := range s.domains {
+		for range s.hosts {
+			options.Domains = append(options.Domains, domainName(d))
+		}
+	}
+	f, err := localfleet.Start(ctx, options)
+	if err != nil {
+		return result, err
+	}
+	defer f.Close()
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.WaitReady(ready); err != nil {
+		return result, err
+	}
+	time.Sleep(settle)
+	before := observe(f)
+	time.Sleep(length)
+	after := observe(f)
+	result.fill(before, after, float64(f.Len()))
+	result.heap = (heapInUse() - base) / float64(f.Len())
+	result.inForce, err = slowestApply(ctx, f, options.Configuration)
+	return result, err
+}
+
+// observation is a reading of all counters.
+type observation struct {
+	at       time.Time
+	sent     float64
+	received float64
+	cpu      time.Duration
+	reads    int64
+	writes   int64
+}
+
+func observe(f *localfleet.Fleet) observation {
+	o := observation{at: time.Now(), cpu: processorTime()}
+	for i := range f.Len() {
+		traffic := f.Host(i).Traffic()
+		o.sent += float64(traffic.BytesSent)
+		o.received += float64(traffic.BytesReceived)
+	}
+	calls := f.Store.Calls()
+	o.reads, o.writes = calls.Reads(), calls.Writes()
+	return o
+}
+
+func (s *sample) fill(before, after observation, hosts float64) {
+	seconds := after.at.Sub(before.at).Seconds()
+	s.bytesSent = (after.sent - before.sent) / seconds / hosts
+	s.bytesReceived = (after.received - before.received) / seconds / hosts
+	s.cpu = (after.cpu - before.cpu).Seconds() / seconds / hosts
+	s.storeReads = float64(after.reads-before.reads) / seconds
+	s.storeWrites = float64(after.writes-before.writes) / seconds
+}
+
+// slowestApply returns the longest time from a commit until all hosts have the
+// revision in force.
+func slowestApply(ctx context.Context, f *localfleet.Fleet, c *configuration.Configuration) (time.Duration, error) {
+	slowest := time.Duration(0)
+	for i := range applies {
+		next := *c
+		next.ClientAccounts = append([]configuration.ClientAccount(nil), c.ClientAccounts...)
+		next.ClientAccounts[0].Weight = i + 2
+		start := time.Now()
+		revision, err := f.Apply(ctx, &next)
+		if err != nil {
+			return 0, err
+		}
+		for i := range f.Len() {
+			for f.Host(i).Revision() < revision {
+				time.Sleep(inForcePoll)
+			}
+		}
+		slowest = max(slowest, time.Since(start))
+		time.Sleep(applyPause)
+	}
+	return slowest, nil
+}
+
+func domainName(d int) string { return fmt.Sprintf("domain-%02d", d) }
+
+// fleetConfiguration has one upstream a service in each failure domain, at an
+// address where nothing listens.
+func fleetConfiguration(s size) *configuration.Configuration {
+	c := &configuration.Configuration{Regions: []configuration.Region{{Name: "region"}}}
+	for n := range servicesPerFleet {
+		service := fmt.Sprintf("service-%d", n)
+		c.Services = append(c.Services, configuration.Service{Name: service})
+		c.Routes = append(c.Routes, configuration.Route{Service: service, Prefix: "/"})
+	}
+	for n := range accountsPerFleet {
+		c.ClientAccounts = append(c.ClientAccounts, configuration.ClientAccount{Name: fmt.Sprintf("account-%d", n), Rate: 100, Burst: 50})
+	}
+	for d := range s.domains {
+		name := domainName(d)
+		c.FailureDomains = append(c.FailureDomains, configuration.FailureDomain{Name: name, Region: "region"})
+		for n := range servicesPerFleet {
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(1 + d), byte(1 + n)}), 9)
+			c.Upstreams = append(c.Upstreams, configuration.Upstream{
+				Name: fmt.Sprintf("%s-%d", name, n), Service: fmt.Sprintf("service-%d", n), FailureDomain: name,
+				Address: address, Slots: slotsPerUpstream, Connections: 64,
+			})
+		}
+	}
+	return c
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapInuse + stats.StackInuse)
+}
