Give messages and streams a connection each

Cause: relayed bodies that nobody reads used up the connection's flow control window, so that heartbeats and other relays to the same host stopped. Change: one connection for messages, one for streams, each with its own bound of what is under way; the window holds the first window of every stream. Tested: TestUnreadStreamsBlockNeitherMessagesNorStreams fails with a window of 256 KiB and passes with the change; go test ./internal/fleet/... passes. Conclusion: a slow caller delays only its own relay.

--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return &Error{Kind: KindInvalid, Err: err}
 	}
-	stream, done, failure := t.open(ctx, addr)
+	stream, done, failure := t.open(ctx, peerKey{addr, useMessages})
 	if failure != nil {
 		return failure
 	}
@@ -54,10 +54,10 @@
 	return decodeReply(answer, reply)
 }
 
-// open reserves a message and opens a stream to the peer at addr. Nothing has
-// been sent when it fails. done ends the message.
-func (t *Transport) open(ctx context.Context, addr netip.AddrPort) (*quic.Stream, func(), *Error) {
-	p, err := t.peer(addr)
+// open reserves room and opens a QUIC stream to a peer. Nothing has been sent when
+// it fails. done releases the room.
+func (t *Transport) open(ctx context.Context, key peerKey) (*quic.Stream, func(), *Error) {
+	p, err := t.peer(key)
 	if err != nil {
 		return nil, nil, &Error{Kind: KindUnreachable, Err: err}
 	}
--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -128,12 +128,13 @@
 // Error implements error.
 func (*ClosedError) Error() string { return "transport is closed" }
 
-// BusyError reports that the bound on concurrent messages to a peer was reached.
+// BusyError reports that the bound on messages or streams under way to a peer was
+// reached.
 type BusyError struct{ Limit int }
 
 // Error implements error.
 func (e *BusyError) Error() string {
-	return fmt.Sprintf("%d messages to this peer are already under way", e.Limit)
+	return fmt.Sprintf("%d messages or streams to this peer are already under way", e.Limit)
 }
 
 // BackoffError reports that the last attempt to connect failed and the next
--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -291,3 +292,35 @@
 		require.Equal(t, test.want, fleet.ReconnectDelay(test.failures, test.jitter))
 	}
 }
+
+func TestUnreadStreamsBlockNeitherMessagesNorStreams(t *testing.T) {
+	ca := fleettest.Authority(t)
+	a := fleettest.Start(t, ca, options("a", "toronto"))
+	b := fleettest.Start(t, ca, options("b", "detroit"), echo, func(transport *fleet.Transport) {
+		transport.HandleStream("large", func(_ context.Context, _ host.Identity, stream fleet.Stream) {
+			_, _ = stream.Write(make([]byte, 1<<20))
+			_ = stream.CloseWrite()
+		})
+		transport.HandleStream("small", func(_ context.Context, _ host.Identity, stream fleet.Stream) {
+			_, _ = stream.Write([]byte("whole"))
+			_ = stream.CloseWrite()
+		})
+	})
+	for range 50 {
+		stream, err := a.OpenStream(t.Context(), b.Addr(), "large")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = stream.Close() })
+		require.NoError(t, stream.CloseWrite())
+		_, err = io.ReadFull(stream, make([]byte, 1))
+		require.NoError(t, err)
+	}
+	require.NoError(t, callFor(t, a, b.Addr(), "echo", 5*time.Second))
+	stream, err := a.OpenStream(t.Context(), b.Addr(), "small")
+	require.NoError(t, err)
+	require.NoError(t, stream.CloseWrite())
+	require.NoError(t, stream.SetDeadline(time.Now().Add(5*time.Second)))
+	body, err := io.ReadAll(stream)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(body))
+	require.NoError(t, stream.Close())
+}
--- a/internal/fleet/frame.go
+++ b/internal/fleet/frame.go
@@ -52,8 +52,18 @@
 // hello announces the identity of a process on a new connection.
 type hello struct {
 	Identity host.Identity `cbor:"1,keyasint"`
+	Use      use           `cbor:"2,keyasint,omitempty"`
 }
 
+// use says what a connection carries. Messages and streams have a connection
+// each, so that bodies which nobody reads never delay a message.
+type use uint8
+
+const (
+	useMessages use = iota
+	useStreams
+)
+
 // Marshal encodes v in the encoding of fleet messages.
 func Marshal(v any) ([]byte, error) { return cbor.Marshal(v) }
 
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -16,14 +16,15 @@
 type link struct {
 	connection *quic.Conn
 	remote     host.Identity
+	use        use
 	dialed     bool
 	owner      *peer        // uses the link for messages, may be nil
 	active     atomic.Int32 // streams under way
 	lastUsed   atomic.Int64 // Unix nanoseconds
 }
 
-func newLink(connection *quic.Conn, remote host.Identity, dialed bool) *link {
-	l := &link{connection: connection, remote: remote, dialed: dialed}
+func newLink(connection *quic.Conn, remote hello, dialed bool) *link {
+	l := &link{connection: connection, remote: remote.Identity, use: remote.Use, dialed: dialed}
 	l.touch()
 	return l
 }
@@ -80,78 +81,78 @@
 }
 
 // receiveHello answers the first stream of an incoming connection.
-func (t *Transport) receiveHello(ctx context.Context, connection *quic.Conn) (host.Identity, error) {
+func (t *Transport) receiveHello(ctx context.Context, connection *quic.Conn) (hello, error) {
 	stream, err := connection.AcceptStream(ctx)
 	if err != nil {
-		return host.Identity{}, err
+		return hello{}, err
 	}
 	defer bindContext(ctx, stream)()
 	var request requestFrame
 	if err := ReadFrame(stream, &request, helloFrameSize); err != nil {
-		return host.Identity{}, err
+		return hello{}, err
 	}
 	if request.Mode != modeHello {
-		return host.Identity{}, &IdentityError{Reason: "first stream is not a hello"}
+		return hello{}, &IdentityError{Reason: "first stream is not a hello"}
 	}
 	remote, err := t.checkHello(connection, request.Body)
 	if err != nil {
-		return host.Identity{}, err
+		return hello{}, err
 	}
-	body, err := Marshal(hello{Identity: t.self})
+	body, err := Marshal(hello{Identity: t.self, Use: remote.Use})
 	if err != nil {
-		return host.Identity{}, err
+		return hello{}, err
 	}
 	if err := WriteFrame(stream, replyFrame{Status: statusOK, Body: body}, helloFrameSize); err != nil {
-		return host.Identity{}, err
+		return hello{}, err
 	}
 	return remote, stream.Close()
 }
 
 // sendHello announces this process on a new outgoing connection.
-func (t *Transport) sendHello(ctx context.Context, connection *quic.Conn) (host.Identity, error) {
+func (t *Transport) sendHello(ctx context.Context, connection *quic.Conn, purpose use) (hello, error) {
 	stream, err := connection.OpenStreamSync(ctx)
 	if err != nil {
-		return host.Identity{}, err
+		return hello{}, err
 	}
 	defer bindContext(ctx, stream)()
-	body, err := Marshal(hello{Identity: t.self})
+	body, err := Marshal(hello{Identity: t.self, Use: purpose})
 	if err != nil {
-		return host.Identity{}, err
+		return hello{}, err
 	}
 	if err := WriteFrame(stream, requestFrame{Mode: modeHello, Body: body}, helloFrameSize); err != nil {
-		return host.Identity{}, err
+		return hello{}, err
 	}
 	if err := stream.Close(); err != nil {
-		return host.Identity{}, err
+		return hello{}, err
 	}
 	var reply replyFrame
 	if err := ReadFrame(stream, &reply, helloFrameSize); err != nil {
-		return host.Identity{}, err
+		return hello{}, err
 	}
 	return t.checkHello(connection, reply.Body)
 }
 
 // checkHello compares the announced identity with the peer's certificate and
 // with the incarnations seen before.
-func (t *Transport) checkHello(connection *quic.Conn, body []byte) (host.Identity, error) {
+func (t *Transport) checkHello(connection *quic.Conn, body []byte) (hello, error) {
 	var announced hello
 	if err := Unmarshal(body, &announced); err != nil {
-		return host.Identity{}, err
+		return hello{}, err
 	}
 	identity := announced.Identity
 	name, err := keys.NameOf(connection.ConnectionState().TLS.PeerCertificates[0])
 	if err != nil {
-		return host.Identity{}, err
+		return hello{}, err
 	}
 	if !name.Matches(identity) {
 		text := identity.FailureDomain + "/" + string(identity.ID)
 		expected := name.FailureDomain + "/" + string(name.Host)
-		return host.Identity{}, &IdentityError{Announced: text, Expected: expected, Reason: "not the name in the certificate"}
+		return hello{}, &IdentityError{Announced: text, Expected: expected, Reason: "not the name in the certificate"}
 	}
 	if identity.ID == t.self.ID {
-		return host.Identity{}, &IdentityError{Announced: string(identity.ID), Reason: "the peer has this host's own name"}
+		return hello{}, &IdentityError{Announced: string(identity.ID), Reason: "the peer has this host's own name"}
 	}
-	return identity, t.noteIncarnation(identity)
+	return announced, t.noteIncarnation(identity)
 }
 
 func (t *Transport) noteIncarnation(identity host.Identity) error {
@@ -182,7 +183,7 @@
 	}
 	t.links[l] = struct{}{}
 	if !l.dialed && remoteAddr(l.connection) == l.remote.Fleet {
-		l.owner = t.peerLocked(l.remote.Fleet)
+		l.owner = t.peerLocked(peerKey{l.remote.Fleet, l.use})
 	}
 	t.mu.Unlock()
 	if !l.dialed && l.owner != nil {
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -14,7 +14,8 @@
 
 const (
 	defaultMaxCallsPerPeer   = 256
-	maxStreamsPerPeer        = 1024
+	defaultMaxStreamsPerPeer = 512
+	maxIncomingStreams       = 1024 // of one connection
 	idleTimeout              = 10 * time.Second
 	keepAlivePeriod          = 4 * time.Second
 	handshakeTimeout         = 3 * time.Second
@@ -23,10 +24,11 @@
 	unusedMargin             = time.Minute     // the accepting side stops using it earlier by this much
 	reconnectBase            = 100 * time.Millisecond
 	reconnectCap             = 5 * time.Second
-	initialStreamWindow      = 64 << 10 // bytes
-	maxStreamWindow          = 1 << 20  // bytes
-	initialConnectionWindow  = 256 << 10
-	maxConnectionWindow      = 8 << 20
+	initialStreamWindow      = 64 << 10  // bytes
+	maxStreamWindow          = 256 << 10 // bytes
+	// streamConnectionWindow leaves room for the first window of every stream, so
+	// that bodies which are not read stop no other stream.
+	streamConnectionWindow   = (defaultMaxStreamsPerPeer + 1) * initialStreamWindow // bytes
 	applicationProtocol      = "peridotrail/1"
 	defaultCallTimeout       = 5 * time.Second // of a call whose context has no deadline
 	helloFrameSize           = 4 << 10         // bytes
@@ -43,6 +45,8 @@
 	MaxFrameSize int
 	// MaxCallsPerPeer bounds the messages under way to one peer. Zero means 256.
 	MaxCallsPerPeer int
+	// MaxStreamsPerPeer bounds the streams under way to one peer. Zero means 512.
+	MaxStreamsPerPeer int
 	// Filter reports whether packets to and from a peer are carried. Nil carries
 	// all. Tests and the emulator cut links with it.
 	Filter func(peer netip.AddrPort) bool
@@ -61,6 +65,9 @@
 	if o.MaxCallsPerPeer == 0 {
 		o.MaxCallsPerPeer = defaultMaxCallsPerPeer
 	}
+	if o.MaxStreamsPerPeer == 0 {
+		o.MaxStreamsPerPeer = defaultMaxStreamsPerPeer
+	}
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
@@ -77,9 +84,9 @@
 		KeepAlivePeriod:                keepAlivePeriod,
 		InitialStreamReceiveWindow:     initialStreamWindow,
 		MaxStreamReceiveWindow:         maxStreamWindow,
-		InitialConnectionReceiveWindow: initialConnectionWindow,
-		MaxConnectionReceiveWindow:     maxConnectionWindow,
-		MaxIncomingStreams:             maxStreamsPerPeer,
+		InitialConnectionReceiveWindow: streamConnectionWindow,
+		MaxConnectionReceiveWindow:     streamConnectionWindow,
+		MaxIncomingStreams:             maxIncomingStreams,
 		MaxIncomingUniStreams:          -1,
 	}
 }
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -11,12 +11,18 @@
 	"github.com/quic-go/quic-go"
 )
 
-// peer holds the connection to one address. It joins concurrent attempts to
+// peerKey names a connection: the address of the peer and what is carried.
+type peerKey struct {
+	addr netip.AddrPort
+	use  use
+}
+
+// peer holds the connection to one address for one use. It joins concurrent attempts to
 // connect into one and spaces failed attempts.
 type peer struct {
 	transport *Transport
-	addr      netip.AddrPort
-	calls     chan struct{} // one element per message under way
+	key       peerKey
+	underWay  chan struct{} // one element per message or stream
 
 	mu       sync.Mutex
 	link     *link
@@ -26,23 +32,27 @@
 	next     time.Time     // earliest time of the next attempt
 }
 
-// peerLocked returns the peer at addr. The caller holds t.mu.
-func (t *Transport) peerLocked(addr netip.AddrPort) *peer {
-	p, ok := t.peers[addr]
+// peerLocked returns the peer of a key. The caller holds t.mu.
+func (t *Transport) peerLocked(key peerKey) *peer {
+	p, ok := t.peers[key]
 	if !ok {
-		p = &peer{transport: t, addr: addr, calls: make(chan struct{}, t.options.MaxCallsPerPeer)}
-		t.peers[addr] = p
+		limit := t.options.MaxCallsPerPeer
+		if key.use == useStreams {
+			limit = t.options.MaxStreamsPerPeer
+		}
+		p = &peer{transport: t, key: key, underWay: make(chan struct{}, limit)}
+		t.peers[key] = p
 	}
 	return p
 }
 
-func (t *Transport) peer(addr netip.AddrPort) (*peer, error) {
+func (t *Transport) peer(key peerKey) (*peer, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
 		return nil, &ClosedError{}
 	}
-	return t.peerLocked(addr), nil
+	return t.peerLocked(key), nil
 }
 
 // offer makes an incoming link available unless a usable one exists.
@@ -65,17 +75,17 @@
 	}
 }
 
-// acquire reserves room for one message. It returns a *BusyError at the bound.
+// acquire reserves room for one message or stream. It returns a *BusyError at the bound.
 func (p *peer) acquire() error {
 	select {
-	case p.calls <- struct{}{}:
+	case p.underWay <- struct{}{}:
 		return nil
 	default:
-		return &BusyError{Limit: cap(p.calls)}
+		return &BusyError{Limit: cap(p.underWay)}
 	}
 }
 
-func (p *peer) release() { <-p.calls }
+func (p *peer) release() { <-p.underWay }
 
 // connect returns a usable link. Concurrent callers share one attempt. While a
 // failed attempt is recent it returns a *BackoffError at once.
@@ -164,11 +174,11 @@
 
 // establish connects to the peer and exchanges identities.
 func (t *Transport) establish(ctx context.Context, p *peer) (*link, error) {
-	connection, err := t.quic.Dial(ctx, net.UDPAddrFromAddrPort(p.addr), t.tlsConfig(), quicConfig())
+	connection, err := t.quic.Dial(ctx, net.UDPAddrFromAddrPort(p.key.addr), t.tlsConfig(), quicConfig())
 	if err != nil {
 		return nil, err
 	}
-	remote, err := t.sendHello(ctx, connection)
+	remote, err := t.sendHello(ctx, connection, p.key.use)
 	if err != nil {
 		_ = connection.CloseWithError(closeIdentity, err.Error())
 		return nil, err
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, &Error{Kind: KindInvalid, Peer: addr, Message: kind, Err: err}
 	}
-	stream, done, failure := t.open(ctx, addr)
+	stream, done, failure := t.open(ctx, peerKey{addr, useStreams})
 	if failure != nil {
 		failure.Peer = addr
 		failure.Message = kind
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -30,7 +30,8 @@
 )
 
 // Transport carries messages and streams between hosts over QUIC with mutual
-// TLS. It keeps one connection to each peer in use and one stream per message.
+// TLS. It keeps one connection to each peer in use for messages, one for streams,
+// and opens one QUIC stream for each of them.
 // It never sends a message twice. It implements Caller, Registry, Streamer and
 // StreamRegistry and is safe for concurrent use.
 type Transport struct {
@@ -50,7 +51,7 @@
 
 	mu           sync.Mutex
 	closed       bool
-	peers        map[netip.AddrPort]*peer
+	peers        map[peerKey]*peer
 	links        map[*link]struct{}
 	incarnations map[host.ID]host.Incarnation // highest seen
 	past         Traffic                      // of connections that ended
@@ -74,7 +75,7 @@
 		streams:      map[Kind]StreamHandler{},
 		root:         root,
 		cancel:       cancel,
-		peers:        map[netip.AddrPort]*peer{},
+		peers:        map[peerKey]*peer{},
 		links:        map[*link]struct{}{},
 		incarnations: map[host.ID]host.Incarnation{},
 	}
