Test garbage collection against racing commits

Cause: the racing operators of the first test never named a dropped chunk again, so that a commit which does not rewrite such a chunk went unnoticed. Tested: go test ./internal/configuration.

--- a/internal/configuration/repository_test.go
+++ b/internal/configuration/repository_test.go
@@ -271,3 +271,41 @@
 	}
 	require.Equal(t, accepted, stored)
 }
+
+// deleteHook runs once before the first deletion.
+type deleteHook struct {
+	platform.Store
+	once   sync.Once
+	before func()
+}
+
+func (h *deleteHook) CompareAndSwap(ctx context.Context, w platform.Write) (platform.Entry, error) {
+	if w.Delete {
+		h.once.Do(h.before)
+	}
+	return h.Store.CompareAndSwap(ctx, w)
+}
+
+func TestAChunkNamedAgainOutlivesAPausedCollection(t *testing.T) {
+	ctx := t.Context()
+	s := store.New()
+	now := time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+	clock := func() time.Time { return now }
+	other := NewRepository(RepositoryConfig{Store: s, Now: clock})
+	hook := &deleteHook{Store: s, before: func() {
+		_, err := other.Commit(ctx, 3, regionsOf("a"))
+		require.NoError(t, err)
+	}}
+	collecting := NewRepository(RepositoryConfig{Store: hook, Now: clock})
+	for i, name := range []string{"a", "b"} {
+		_, err := collecting.Commit(ctx, Revision(i), regionsOf(name))
+		require.NoError(t, err)
+	}
+	now = now.Add(DefaultGarbageGrace + time.Second)
+	_, err := collecting.Commit(ctx, 2, regionsOf("c"))
+	require.NoError(t, err)
+	loaded, err := other.Load(ctx)
+	require.NoError(t, err)
+	require.Equal(t, Revision(4), loaded.Revision)
+	require.Equal(t, "a", loaded.Regions[0].Name)
+}
