Let peers wait for room, and return room that is not needed

Cause: a peer without a free slot answered at once and was left alone for 200 ms, so freed slots met no waiter; unused grants blocked slots for a term. Change: a lender holds a request for room up to 150 ms and grants freed slots to its own queue first, then to waiting peers in turn; a borrower shrinks its grant and tells the lender as soon as it does not need it; the reserve is rounded down.

--- a/internal/upstream/dispatcher.go
+++ b/internal/upstream/dispatcher.go
@@ -221,7 +221,7 @@
 }
 
 // lendRoom handles a request for room from another host.
-func (d *Dispatcher) lendRoom(_ context.Context, from host.Identity, decode fleet.Decoder) (any, error) {
+func (d *Dispatcher) lendRoom(ctx context.Context, from host.Identity, decode fleet.Decoder) (any, error) {
 	var request room.Request
 	if err := decode(&request); err != nil {
 		return nil, err
@@ -237,7 +237,7 @@
 	if distanceTo(d.options.Self, from) >= distanceOtherRegion && !d.egress.open(now) {
 		return room.Reply{}, nil
 	}
-	reply := l.lend(from.ID, request, now)
+	reply := l.lend(ctx, from.ID, request, now)
 	d.stats.roomLent.Inc(int64(reply.Slots))
 	return reply, nil
 }
--- a/internal/upstream/duty.go
+++ b/internal/upstream/duty.go
@@ -71,19 +71,29 @@
 	}
 }
 
-// ask sends one request for room. At most askParallel run for each service.
+// ask sends one request for room. At most askNear and askFar run for each service.
 func (d *Dispatcher) ask(ctx context.Context, l *lane, a ask) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	asked := d.now()
 	d.stats.roomAsked.Inc(1)
 	var reply room.Reply
-	if err := d.options.Caller.Call(ctx, a.peer.Fleet, KindRoom, a.request, &reply); err != nil {
+	err := d.options.Caller.Call(ctx, a.peer.Fleet, KindRoom, a.request, &reply)
+	if err != nil {
 		d.stats.roomFailed.Inc(1)
 		reply = room.Reply{}
 	}
 	d.stats.roomSlots.Inc(int64(reply.Slots))
-	l.answered(a, reply, asked, d.now())
+	l.answered(a, reply, err != nil, asked, d.now())
+	if l.waiting() {
+		d.askSoon()
+	}
+}
+
+func (l *lane) waiting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pool.queue.len() > 0
 }
 
 func (d *Dispatcher) candidates(c *configuration.Configuration, peers []Peer, service string, holds func(host.ID) bool, now time.Time) []candidate {
--- a/internal/upstream/lane.go
+++ b/internal/upstream/lane.go
@@ -36,7 +36,7 @@
 	reach := l.dispatcher.reach(l.pool.service)
 	l.mu.Lock()
 	place, waiting, refused := l.pool.submit(work, reach, now)
-	assigned := l.pool.pump(now)
+	assigned := l.pump(now)
 	l.mu.Unlock()
 	l.hand(assigned, now)
 	if waiting == nil {
@@ -127,7 +127,7 @@
 	now := l.dispatcher.now()
 	l.mu.Lock()
 	l.pool.finish(place, outcome, now)
-	assigned := l.pool.pump(now)
+	assigned := l.pump(now)
 	l.mu.Unlock()
 	l.hand(assigned, now)
 }
@@ -137,39 +137,71 @@
 	l.mu.Lock()
 	limit, _ := l.pool.slots(now)
 	l.pool.queue.setSlots(limit)
-	assigned := l.pool.pump(now)
+	assigned := l.pump(now)
 	l.mu.Unlock()
 	l.hand(assigned, now)
 }
 
-// lend answers a request for room.
-func (l *lane) lend(from host.ID, request room.Request, now time.Time) room.Reply {
+// lend answers a request for room, if need be after the peer's patience.
+func (l *lane) lend(ctx context.Context, from host.ID, request room.Request, now time.Time) room.Reply {
+	request.Patience = min(request.Patience, askPatience)
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.pool.lender.Lend(from, request, l.pool.lendable(now), now)
+	reply, w := l.pool.lend(from, request, now)
+	l.mu.Unlock()
+	if w == nil {
+		return reply
+	}
+	timer := time.NewTimer(request.Patience)
+	defer timer.Stop()
+	select {
+	case reply = <-w.decided:
+	case <-timer.C:
+		reply = l.endRoomWait(w)
+	case <-ctx.Done():
+		reply = l.endRoomWait(w)
+	}
+	reply.Waited = l.dispatcher.now().Sub(now)
+	return reply
+}
+
+func (l *lane) endRoomWait(w *roomWaiter) room.Reply {
+	l.mu.Lock()
+	waiting := l.pool.forgetRoomWaiter(w)
+	l.mu.Unlock()
+	if waiting {
+		return room.Reply{}
+	}
+	return <-w.decided
+}
+
+// pump gives free slots to waiters, then to peers that wait for room. The caller
+// holds l.mu.
+func (l *lane) pump(now time.Time) []assignment {
+	assigned := l.pool.pump(now)
+	l.pool.lendToWaiters(now)
+	return assigned
 }
 
 // planAsks returns the requests for room to send now.
 func (l *lane) planAsks(find func(holds func(host.ID) bool) []candidate, now time.Time) []ask {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	wanted := l.pool.wanted()
-	if wanted == 0 {
+	if l.pool.wanted() == 0 && l.pool.holder.Free(now) == 0 {
 		return nil
 	}
 	found := find(func(id host.ID) bool {
 		grant, _ := l.pool.holder.Current(id, now)
 		return grant != 0
 	})
-	return l.asker.plan(l.pool, found, wanted, now)
+	return l.asker.plan(l.pool, found, now)
 }
 
-// answered takes over the reply to an ask; a zero reply stands for a failure.
-func (l *lane) answered(a ask, reply room.Reply, asked, now time.Time) {
+// answered takes over the reply to an ask. A failed one has a zero reply.
+func (l *lane) answered(a ask, reply room.Reply, failed bool, asked, now time.Time) {
 	l.mu.Lock()
-	l.asker.answered(a.peer.ID, reply.Slots, now)
+	l.asker.answered(a, reply, failed, now)
 	l.pool.holder.Add(a.peer, a.distance, reply, asked, now)
-	assigned := l.pool.pump(now)
+	assigned := l.pump(now)
 	l.mu.Unlock()
 	l.hand(assigned, now)
 }
--- a/internal/upstream/peers.go
+++ b/internal/upstream/peers.go
@@ -2,14 +2,12 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"peridotrail/internal/host"
-	"peridotrail/internal/upstream/room"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -23,11 +21,6 @@
 
 // Settings of requests for room.
 const (
-	askAhead        = 0.25                   // of the relays wanted now, asked for in addition
-	askParallel     = 3                      // peers asked at the same time for one service
-	askTimeout      = room.Term              // of one request
-	askPause        = 200 * time.Millisecond // after a peer had no room
-	askRenewBefore  = room.Term / 2          // time before its end at which a grant is renewed
 	roundTripDomain = 2 * time.Millisecond
 	roundTripRegion = 2 * time.Millisecond
 	roundTripOther  = 30 * time.Millisecond
@@ -114,80 +107,6 @@
 	return float64(digest.Sum64()>>11) / (1 << 53)
 }
 
-// ask is one request for room to send.
-type ask struct {
-	peer     host.Identity
-	distance int
-	request  room.Request
-}
-
-// asker is the aggregate that decides which peers to ask for room for one
-// service. Its owner holds the lock of the pool.
-type asker struct {
-	pending map[host.ID]bool
-	pause   map[host.ID]time.Time // no request before this time
-}
-
-func newAsker() *asker {
-	return &asker{pending: map[host.ID]bool{}, pause: map[host.ID]time.Time{}}
-}
-
-// plan returns the requests to send now for wanted concurrent relays.
-func (a *asker) plan(p *pool, found []candidate, wanted int, now time.Time) []ask {
-	var asks []ask
-	for _, c := range found {
-		if wanted <= 0 || len(a.pending) >= askParallel {
-			break
-		}
-		if a.pending[c.identity.ID] || now.Before(a.pause[c.identity.ID]) {
-			continue
-		}
-		if !p.worthAsking(&c, now) {
-			continue
-		}
-		grant, expires := p.holder.Current(c.identity.ID, now)
-		if grant != 0 && expires.Sub(now) > askRenewBefore {
-			wanted -= p.holder.SlotsOf(grant)
-			continue
-		}
-		slots := wanted
-		if c.distance > distanceSameDomain {
-			slots = min(wanted, c.free+p.holder.SlotsOf(grant))
-		}
-		wanted -= min(slots, c.free+p.holder.SlotsOf(grant))
-		a.pending[c.identity.ID] = true
-		request := room.Request{Service: p.service, Slots: slots, Renew: grant}
-		asks = append(asks, ask{peer: c.identity, distance: c.distance, request: request})
-	}
-	return asks
-}
-
-// worthAsking reports whether waiters would still be waiting when the peer's
-// answer arrives, and whether bytes may be sent to it.
-func (p *pool) worthAsking(c *candidate, now time.Time) bool {
-	if c.distance >= distanceOtherRegion && !p.egress.open(now) {
-		return false
-	}
-	waiting := p.localWait(float64(p.queue.len()), now)
-	return p.holder.InUse() > 0 || waiting >= c.defaultRoundTrip()
-}
-
-// answered takes over the end of a request.
-func (a *asker) answered(peer host.ID, granted int, now time.Time) {
-	delete(a.pending, peer)
-	delete(a.pause, peer)
-	if granted == 0 {
-		a.pause[peer] = now.Add(askPause)
-	}
-}
-
-// wanted returns how many concurrent relays the pool could use, with some for
-// the requests that arrive meanwhile.
-func (p *pool) wanted() int {
-	now := p.queue.len() + p.holder.InUse()
-	return now + int(math.Ceil(askAhead*float64(now)))
-}
-
 // peersMaxAge is the age at which the known peers are read again.
 const peersMaxAge = 50 * time.Millisecond
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"math"
 	"time"
 
 	"peridotrail/internal/host"
@@ -46,6 +45,8 @@
 	egress   *egress
 	retries  retryBudget
 
+	roomWaiters []*roomWaiter
+
 	lastLocal time.Time // when this host last accepted work of its own callers
 }
 
@@ -83,7 +84,7 @@
 	}
 	reserve := 0
 	if limit > 1 && now.Sub(p.lastLocal) < reserveMemory {
-		reserve = int(math.Ceil(reserveShare * float64(limit)))
+		reserve = int(reserveShare * float64(limit))
 	}
 	return max(0, free-p.lender.SetAside(now)-reserve)
 }
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -127,7 +127,7 @@
 	now := l.dispatcher.now()
 	l.mu.Lock()
 	t.worker.inUse--
-	assigned := l.pool.pump(now)
+	assigned := l.pump(now)
 	l.mu.Unlock()
 	l.hand(assigned, now)
 }
--- a/internal/upstream/room/holder.go
+++ b/internal/upstream/room/holder.go
@@ -39,7 +39,7 @@
 	if known := h.find(peer, reply.Grant); known != nil {
 		known.Slots = reply.Slots
 		known.Expires = asked.Add(Term)
-		known.RoundTrip = now.Sub(asked)
+		known.RoundTrip = roundTrip(reply, asked, now)
 		return
 	}
 	if reply.Slots <= 0 {
@@ -47,12 +47,31 @@
 	}
 	holding := &Holding{
 		Peer: peer, Grant: reply.Grant, Slots: reply.Slots,
-		Expires: asked.Add(Term), RoundTrip: now.Sub(asked), Distance: distance,
+		Expires: asked.Add(Term), RoundTrip: roundTrip(reply, asked, now), Distance: distance,
 	}
 	h.holdings = append(h.holdings, holding)
 	slices.SortStableFunc(h.holdings, func(a, b *Holding) int { return a.Distance - b.Distance })
 }
 
+func roundTrip(reply Reply, asked, now time.Time) time.Duration {
+	return max(0, now.Sub(asked)-reply.Waited)
+}
+
+// Each calls visit for the holdings that have not ended.
+func (h *Holder) Each(now time.Time, visit func(*Holding)) {
+	for _, holding := range h.holdings {
+		if now.Before(holding.Expires) {
+			visit(holding)
+		}
+	}
+}
+
+// Shrink gives up the slots of a holding beyond slots. The lender learns of it
+// by a request that renews the grant.
+func (h *Holder) Shrink(holding *Holding, slots int) {
+	holding.Slots = max(holding.InUse, min(holding.Slots, slots))
+}
+
 func (h *Holder) find(peer host.Identity, grant uint64) *Holding {
 	for _, holding := range h.holdings {
 		if holding.Grant == grant && holding.Peer.Same(peer) {
--- a/internal/upstream/room/room.go
+++ b/internal/upstream/room/room.go
@@ -26,12 +26,16 @@
 	Service string `cbor:"1,keyasint"`
 	Slots   int    `cbor:"2,keyasint"` // concurrent requests wanted
 	Renew   uint64 `cbor:"3,keyasint,omitempty"`
+	// Patience is how long the lender may wait for a free slot before it answers.
+	Patience time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Reply answers a Request. Slots is zero if the lender has no room.
 type Reply struct {
 	Grant uint64 `cbor:"1,keyasint"`
 	Slots int    `cbor:"2,keyasint"`
+	// Waited is how long the lender waited for a free slot.
+	Waited time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // UngrantedError reports a relayed request that no grant covers.
