Ask peers whatever they announced; serve the older work of a domain first

Cause: announced free slots are seconds old, a request lasts a fifth of a second, so a peer with free slots was often no candidate; and one host of a domain could have a long queue while another served its newer work. Change: announcements only order the candidates. A request for room carries the wait of the oldest request behind it; hosts of one domain grant freed slots by age.

--- a/internal/upstream/asker.go
+++ b/internal/upstream/asker.go
@@ -56,7 +56,7 @@
 			slots = min(wanted, c.free)
 		}
 		wanted -= min(slots, c.free)
-		request := room.Request{Service: p.service, Slots: slots}
+		request := room.Request{Service: p.service, Slots: slots, Oldest: p.queue.oldest(now)}
 		if c.distance < distanceOtherRegion {
 			request.Patience = askPatience
 		}
@@ -142,9 +142,20 @@
 type roomWaiter struct {
 	origin  host.ID
 	request room.Request
+	arrived time.Time
+	sibling bool            // the peer is in this host's failure domain
 	decided chan room.Reply // capacity 1
 }
 
+// age returns how long the request that needs the room has waited.
+func (w *roomWaiter) age(now time.Time) time.Duration {
+	return w.request.Oldest + now.Sub(w.arrived)
+}
+
+// elderMargin is by how much longer a peer's request must have waited than this
+// host's to be served first.
+const elderMargin = 10 * time.Millisecond
+
 // maxRoomWaiters bounds the requests for room that wait.
 const maxRoomWaiters = 128
 
@@ -159,11 +170,25 @@
 	if request.Patience <= 0 || len(p.roomWaiters) >= maxRoomWaiters {
 		return room.Reply{}, nil
 	}
-	w := &roomWaiter{origin: origin, request: request, decided: make(chan room.Reply, 1)}
+	w := &roomWaiter{origin: origin, request: request, arrived: now, decided: make(chan room.Reply, 1)}
 	p.roomWaiters = append(p.roomWaiters, w)
 	return room.Reply{}, w
 }
 
+// lendToElders grants single slots to peers of the same failure domain whose work
+// has waited longer than that of this host: the upstreams belong to the domain.
+func (p *pool) lendToElders(now time.Time) {
+	for i := 0; i < len(p.roomWaiters) && p.queue.len() > 0 && p.spare(now) > 0; {
+		w := p.roomWaiters[i]
+		if !w.sibling || w.age(now) < p.queue.oldest(now)+elderMargin {
+			i++
+			continue
+		}
+		p.forgetRoomWaiter(w)
+		w.decided <- p.lender.Lend(w.origin, w.request, 1, now)
+	}
+}
+
 // lendToWaiters grants free slots to the peers that wait for them, in turn and
 // evenly.
 func (p *pool) lendToWaiters(now time.Time) {
--- a/internal/upstream/dispatcher.go
+++ b/internal/upstream/dispatcher.go
@@ -237,7 +237,7 @@
 	if distanceTo(d.options.Self, from) >= distanceOtherRegion && !d.egress.open(now) {
 		return room.Reply{}, nil
 	}
-	reply := l.lend(ctx, from.ID, request, now)
+	reply := l.lend(ctx, from, request, now)
 	d.stats.roomLent.Inc(int64(reply.Slots))
 	return reply, nil
 }
--- a/internal/upstream/duty.go
+++ b/internal/upstream/duty.go
@@ -62,10 +62,11 @@
 	current := d.current()
 	peers := d.currentPeers(now)
 	for service, l := range current.lanes {
-		find := func(holds func(host.ID) bool) []candidate {
-			return d.candidates(current.source, peers, service, holds, now)
+		if !l.needsRoom(now) {
+			continue
 		}
-		for _, a := range l.planAsks(find, now) {
+		found := d.candidates(current.source, peers, service, now)
+		for _, a := range l.planAsks(found, now) {
 			go d.ask(ctx, l, a)
 		}
 	}
@@ -96,17 +97,15 @@
 	return l.pool.queue.len() > 0
 }
 
-func (d *Dispatcher) candidates(c *configuration.Configuration, peers []Peer, service string, holds func(host.ID) bool, now time.Time) []candidate {
+func (d *Dispatcher) candidates(c *configuration.Configuration, peers []Peer, service string, now time.Time) []candidate {
 	draining := func(id host.Identity) bool { return hostDrained(c, id, now) }
-	return candidates(d.options.Self, peers, service, draining, holds)
+	return candidates(d.options.Self, peers, service, draining)
 }
 
-func noGrant(host.ID) bool { return false }
-
 // reach returns the round trip to the nearest peer that may have room, or zero.
 func (d *Dispatcher) reach(service string) time.Duration {
 	now := d.now()
-	found := d.candidates(d.plan.Load().source, d.currentPeers(now), service, noGrant, now)
+	found := d.candidates(d.plan.Load().source, d.currentPeers(now), service, now)
 	if len(found) == 0 {
 		return 0
 	}
--- a/internal/upstream/lane.go
+++ b/internal/upstream/lane.go
@@ -143,10 +143,13 @@
 }
 
 // lend answers a request for room, if need be after the peer's patience.
-func (l *lane) lend(ctx context.Context, from host.ID, request room.Request, now time.Time) room.Reply {
+func (l *lane) lend(ctx context.Context, from host.Identity, request room.Request, now time.Time) room.Reply {
 	request.Patience = min(request.Patience, askPatience)
 	l.mu.Lock()
-	reply, w := l.pool.lend(from, request, now)
+	reply, w := l.pool.lend(from.ID, request, now)
+	if w != nil {
+		w.sibling = from.FailureDomain == l.dispatcher.options.Self.FailureDomain
+	}
 	l.mu.Unlock()
 	if w == nil {
 		return reply
@@ -174,25 +177,27 @@
 	return <-w.decided
 }
 
-// pump gives free slots to waiters, then to peers that wait for room. The caller
+// pump gives free slots to the waiters of this host and then to peers that wait
+// for room; to those of the same failure domain by age. The caller
 // holds l.mu.
 func (l *lane) pump(now time.Time) []assignment {
+	l.pool.lendToElders(now)
 	assigned := l.pool.pump(now)
 	l.pool.lendToWaiters(now)
 	return assigned
 }
 
+// needsRoom reports whether there may be requests for room to send.
+func (l *lane) needsRoom(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pool.wanted() > 0 || l.pool.holder.Free(now) > 0
+}
+
 // planAsks returns the requests for room to send now.
-func (l *lane) planAsks(find func(holds func(host.ID) bool) []candidate, now time.Time) []ask {
+func (l *lane) planAsks(found []candidate, now time.Time) []ask {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.pool.wanted() == 0 && l.pool.holder.Free(now) == 0 {
-		return nil
-	}
-	found := find(func(id host.ID) bool {
-		grant, _ := l.pool.holder.Current(id, now)
-		return grant != 0
-	})
 	return l.asker.plan(l.pool, found, now)
 }
 
--- a/internal/upstream/peers.go
+++ b/internal/upstream/peers.go
@@ -19,7 +19,10 @@
 	distanceOtherRegion = 2
 )
 
-// Settings of requests for room.
+// unannounced stands for the free slots of a peer that announced none.
+const unannounced = 0.5
+
+// Round trips to peers that were not measured yet.
 const (
 	roundTripDomain = 2 * time.Millisecond
 	roundTripRegion = 2 * time.Millisecond
@@ -68,25 +71,21 @@
 }
 
 // candidates returns the live peers that may have free slots of service, nearest
-// first. Announcements lag, so peers of the same failure domain count whatever
-// they announced. Among peers at the same distance the order depends on their
-// free slots and differs between hosts, so that hosts do not all ask the same.
-// draining reports whether a peer may get no new work, and holds whether this
-// host has a grant of it, which its announcements no longer show as free.
-func candidates(self host.Identity, peers []Peer, service string, draining func(host.Identity) bool, holds func(host.ID) bool) []candidate {
+// first. Announcements lag, so they only decide the order among peers at the same
+// distance, which also differs between hosts, so that hosts do not all ask the
+// same. draining reports whether a peer may get no new work.
+func candidates(self host.Identity, peers []Peer, service string, draining func(host.Identity) bool) []candidate {
 	var found []candidate
 	for _, peer := range peers {
 		free := peer.FreeSlots[service]
-		distance := distanceTo(self, peer.Identity)
-		hopeful := free > 0 || distance == distanceSameDomain || holds(peer.Identity.ID)
-		if !hopeful || peer.State != host.StateLive || draining(peer.Identity) {
+		if peer.State != host.StateLive || draining(peer.Identity) {
 			continue
 		}
 		found = append(found, candidate{
 			identity: peer.Identity,
-			distance: distance,
+			distance: distanceTo(self, peer.Identity),
 			free:     max(1, free),
-			rank:     float64(free) * (0.5 + spread(string(self.ID), string(peer.Identity.ID), service)),
+			rank:     (float64(free) + unannounced) * (0.5 + spread(string(self.ID), string(peer.Identity.ID), service)),
 		})
 	}
 	slices.SortFunc(found, func(a, b candidate) int {
--- a/internal/upstream/queue.go
+++ b/internal/upstream/queue.go
@@ -175,6 +175,19 @@
 	return late
 }
 
+// oldest returns how long the oldest waiter has waited; zero if there is none.
+func (q *fairQueue) oldest(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, c := range []*class{&q.alert, &q.normal} {
+		for _, f := range c.flows {
+			if len(f.waiting) > 0 {
+				oldest = max(oldest, now.Sub(f.waiting[0].enqueued))
+			}
+		}
+	}
+	return oldest
+}
+
 // charge counts work that runs without having waited.
 func (q *fairQueue) charge(work *Work, cost float64) {
 	c := q.classOf(work)
--- a/internal/upstream/room/room.go
+++ b/internal/upstream/room/room.go
@@ -28,6 +28,8 @@
 	Renew   uint64 `cbor:"3,keyasint,omitempty"`
 	// Patience is how long the lender may wait for a free slot before it answers.
 	Patience time.Duration `cbor:"4,keyasint,omitempty"`
+	// Oldest is how long the oldest request that needs the room has waited.
+	Oldest time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Reply answers a Request. Slots is zero if the lender has no room.
