--- a/internal/upstream/duty.go
+++ b/internal/upstream/duty.go
@@ -62,41 +62,50 @@
 	current := d.current()
 	peers := d.currentPeers(now)
 	for service, l := range current.lanes {
-		find := func(holds func(host.ID) bool) []candidate {
-			return d.candidates(current.source, peers, service, holds, now)
+		if !l.needsRoom(now) {
+			continue
 		}
-		for _, a := range l.planAsks(find, now) {
+		found := d.candidates(current.source, peers, service, now)
+		for _, a := range l.planAsks(found, now) {
 			go d.ask(ctx, l, a)
 		}
 	}
 }
 
-// ask sends one request for room. At most askParallel run for each service.
+// ask sends one request for room. At most askNear and askFar run for each service.
 func (d *Dispatcher) ask(ctx context.Context, l *lane, a ask) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	asked := d.now()
 	d.stats.roomAsked.Inc(1)
 	var reply room.Reply
-	if err := d.options.Caller.Call(ctx, a.peer.Fleet, KindRoom, a.request, &reply); err != nil {
+	err := d.options.Caller.Call(ctx, a.peer.Fleet, KindRoom, a.request, &reply)
+	if err != nil {
 		d.stats.roomFailed.Inc(1)
 		reply = room.Reply{}
 	}
 	d.stats.roomSlots.Inc(int64(reply.Slots))
-	l.answered(a, reply, asked, d.now())
+	l.answered(a, reply, err != nil, asked, d.now())
+	if l.waiting() {
+		d.askSoon()
+	}
 }
 
-func (d *Dispatcher) candidates(c *configuration.Configuration, peers []Peer, service string, holds func(host.ID) bool, now time.Time) []candidate {
-	draining := func(id host.Identity) bool { return hostDrained(c, id, now) }
-	return candidates(d.options.Self, peers, service, draining, holds)
+func (l *lane) waiting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pool.queue.len() > 0
 }
 
-func noGrant(host.ID) bool { return false }
+func (d *Dispatcher) candidates(c *configuration.Configuration, peers []Peer, service string, now time.Time) []candidate {
+	draining := func(id host.Identity) bool { return hostDrained(c, id, now) }
+	return candidates(d.options.Self, peers, service, draining)
+}
 
 // reach returns the round trip to the nearest peer that may have room, or zero.
 func (d *Dispatcher) reach(service string) time.Duration {
 	now := d.now()
-	found := d.candidates(d.plan.Load().source, d.currentPeers(now), service, noGrant, now)
+	found := d.candidates(d.plan.Load().source, d.currentPeers(now), service, now)
 	if len(found) == 0 {
 		return 0
 	}
