Let domains find each other through any leader

Cause: the measure command with 11 domains and one seed ended with 5 of 11 hosts known: leaders compared only the lists of each other's own domain. Change: a leader that sees that another domain's leader holds other summaries compares all of them, at most every 3 s. Tested: TestDomainsFindEachOtherThroughOneSeed fails with the comparison off (period of an hour) and passes with it; go test ./internal/membership passes. Conclusion: one reachable seed is enough.

--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -310,6 +310,7 @@
 		stream, err := a.OpenStream(t.Context(), b.Addr(), "large")
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = stream.Close() })
+		require.NoError(t, stream.SetDeadline(time.Now().Add(10*time.Second)))
 		require.NoError(t, stream.CloseWrite())
 		_, err = io.ReadFull(stream, make([]byte, 1))
 		require.NoError(t, err)
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -25,6 +25,7 @@
 	hintPeriod     = 30 * time.Second
 	hintTimeout    = 5 * time.Second
 	syncTimeout    = 3 * time.Second
+	gossipPeriod   = 3 * time.Second // between comparisons with speakers of other domains
 	syncRingSize   = 32
 	wantEvery      = 4 // heartbeats of which one asks for the digests of others
 )
@@ -65,6 +66,7 @@
 	busy      map[netip.AddrPort]bool      // heartbeat under way
 	synced    map[netip.AddrPort]time.Time // last attempt
 	wants     uint64
+	gossiped  time.Time // last comparison with another domain
 	random    *rand.Rand
 
 	published   uint64 // version of the table in the published view
@@ -322,7 +324,7 @@
 func (s *Service) receive(from host.Identity, beat Heartbeat, introduced bool) error {
 	s.mu.Lock()
 	err := s.table.Heard(time.Now(), from, beat)
-	needed := err == nil && (introduced || s.table.NeedsSync(from, beat))
+	needed := err == nil && (introduced || s.table.NeedsSync(from, beat) || s.gossips(from, beat))
 	listeners := s.listeners
 	s.mu.Unlock()
 	if err != nil {
@@ -338,6 +340,17 @@
 	return nil
 }
 
+// gossips reports whether to compare summaries with a speaker of another domain,
+// at most once each gossipPeriod. The caller holds s.mu.
+func (s *Service) gossips(from host.Identity, beat Heartbeat) bool {
+	now := time.Now()
+	if now.Sub(s.gossiped) < gossipPeriod || !s.table.MayGossip(from, beat) {
+		return false
+	}
+	s.gossiped = now
+	return true
+}
+
 func (s *Service) handleHeartbeat(_ context.Context, from host.Identity, decode fleet.Decoder) (any, error) {
 	var request Heartbeat
 	if err := decode(&request); err != nil {
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -165,6 +165,20 @@
 	}
 }
 
+func TestDomainsFindEachOtherThroughOneSeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const domains = 11
+		c := newCluster(t)
+		defer c.stopAll()
+		for n := range domains {
+			c.startDomain(fmt.Sprintf("d%02d", n), 1, true)
+			c.seeds = c.seeds[:1]
+		}
+		time.Sleep(20 * time.Second)
+		c.requireAll(map[host.State]int{host.StateLive: domains - 1}, "all domains")
+	})
+}
+
 func TestKilledHost(t *testing.T) {
 	for _, size := range []int{3, 15} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -225,6 +225,14 @@
 	return digests
 }
 
+// MayGossip reports whether a speaker of another domain holds other summaries
+// than this host, which speaks for its own. Domains that neither has met directly
+// become known this way.
+func (t *Table) MayGossip(from host.Identity, beat Heartbeat) bool {
+	remote := from.FailureDomain != t.self.FailureDomain
+	return remote && beat.Speaker && t.Speaker() == t.self.ID && beat.Known != t.Known()
+}
+
 // Capacity returns the digests of the hosts of the domain that have the most free
 // slots, except one host.
 func (t *Table) Capacity(except host.ID) []PeerDigest {
