Read large folders five times faster

Cause: checking 2.3 million client blocks took 20 s, which each change of an operator would wait for: field paths were formatted for every value, and files were decoded one after the other. Change: the path is kept as a stack and formatted for an issue only; strings without escapes are taken over as they are; four files are decoded at a time and merged in the order of their names. Measured: /usr/bin/time -v peridotrailctl check on 23 generated files of 100,000 blocks, before and after: elapsed 20.05 -> 4.27 s, user time 20.3 -> 11.4 s, largest size 1.51 -> 1.97 GB, the same digest. Tested: go test ./internal/configuration ./internal/settings ./internal/ctl; FuzzLoadFolder for 15 s (272,270 inputs).

--- a/internal/configuration/decode.go
+++ b/internal/configuration/decode.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"reflect"
 	"strings"
+	"sync"
 
 	"github.com/tailscale/hujson"
 )
@@ -14,41 +15,71 @@
 // every issue in place of stopping at the first.
 type decoder struct {
 	file   sourceFile
+	path   []pathStep // of the value that is being decoded
 	issues []Issue
 }
 
-func (d *decoder) report(offset int, field string, code Code, format string, args ...any) {
+// pathStep is one step of a path: a member of an object or an element of an array.
+type pathStep struct {
+	element bool
+	name    string // of a member
+	index   int    // of an element
+}
+
+func (d *decoder) enter(step pathStep) { d.path = append(d.path, step) }
+func (d *decoder) leave()              { d.path = d.path[:len(d.path)-1] }
+
+// field formats the path, such as "clientAccounts[3].rate".
+func (d *decoder) field() string {
+	var b strings.Builder
+	for i, step := range d.path {
+		switch {
+		case step.element:
+			fmt.Fprintf(&b, "[%d]", step.index)
+		case i > 0:
+			b.WriteString("." + abbreviate(step.name))
+		default:
+			b.WriteString(abbreviate(step.name))
+		}
+	}
+	return b.String()
+}
+
+func (d *decoder) report(offset int, code Code, format string, args ...any) {
 	d.issues = append(d.issues, Issue{
 		File:   d.file.name,
 		Line:   d.file.line(offset),
-		Field:  field,
+		Field:  d.field(),
 		Code:   code,
 		Detail: fmt.Sprintf(format, args...),
 	})
 }
 
-// decode fills into, which must be addressable, from value. Field is the path
-// of value within the file.
-func (d *decoder) decode(value *hujson.Value, into reflect.Value, field string) {
+// decode fills into, which must be addressable, from value.
+func (d *decoder) decode(value *hujson.Value, into reflect.Value) {
 	if literal, ok := value.Value.(hujson.Literal); ok && literal.Kind() == 'n' {
-		d.report(value.StartOffset, field, CodeType, "null is not allowed")
+		d.report(value.StartOffset, CodeType, "null is not allowed")
+		return
+	}
+	if into.Kind() == reflect.String {
+		d.decodeString(value, into)
 		return
 	}
 	if decodesItself(into) {
-		d.decodeLiteral(value, into, field)
+		d.decodeLiteral(value, into)
 		return
 	}
 	switch into.Kind() {
 	case reflect.Pointer:
 		target := reflect.New(into.Type().Elem())
-		d.decode(value, target.Elem(), field)
+		d.decode(value, target.Elem())
 		into.Set(target)
 	case reflect.Struct:
-		d.decodeObject(value, into, field)
+		d.decodeObject(value, into)
 	case reflect.Slice:
-		d.decodeArray(value, into, field)
+		d.decodeArray(value, into)
 	default:
-		d.decodeLiteral(value, into, field)
+		d.decodeLiteral(value, into)
 	}
 }
 
@@ -60,63 +91,91 @@
 	return false
 }
 
-func (d *decoder) decodeLiteral(value *hujson.Value, into reflect.Value, field string) {
+func (d *decoder) decodeString(value *hujson.Value, into reflect.Value) {
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		d.report(value.StartOffset, CodeType, "expected %s", describe(into.Type()))
+		return
+	}
+	into.SetString(text(literal))
+}
+
+func (d *decoder) decodeLiteral(value *hujson.Value, into reflect.Value) {
 	literal, ok := value.Value.(hujson.Literal)
 	if !ok {
-		d.report(value.StartOffset, field, CodeType, "expected %s", describe(into.Type()))
+		d.report(value.StartOffset, CodeType, "expected %s", describe(into.Type()))
 		return
 	}
 	if err := json.Unmarshal(literal, into.Addr().Interface()); err != nil {
-		d.report(value.StartOffset, field, CodeType, "%s is not %s", abbreviate(string(literal)), describe(into.Type()))
+		d.report(value.StartOffset, CodeType, "%s is not %s", abbreviate(string(literal)), describe(into.Type()))
 	}
 }
 
-func (d *decoder) decodeObject(value *hujson.Value, into reflect.Value, field string) {
+func (d *decoder) decodeObject(value *hujson.Value, into reflect.Value) {
 	object, ok := value.Value.(*hujson.Object)
 	if !ok {
-		d.report(value.StartOffset, field, CodeType, "expected an object")
+		d.report(value.StartOffset, CodeType, "expected an object")
 		return
 	}
 	fields := jsonFields(into.Type())
-	seen := make(map[string]bool, len(object.Members))
 	for i := range object.Members {
 		member := &object.Members[i]
 		name := memberName(*member)
-		path := field + "." + abbreviate(name)
 		index, known := fields[name]
+		d.enter(pathStep{name: name})
 		switch {
 		case !known:
-			d.report(member.Name.StartOffset, path, CodeUnknownField, "field %q does not exist", abbreviate(name))
-		case seen[name]:
-			d.report(member.Name.StartOffset, path, CodeDuplicate, "field %q occurs twice", name)
+			d.report(member.Name.StartOffset, CodeUnknownField, "field %q does not exist", abbreviate(name))
+		case occursBefore(object, i, name):
+			d.report(member.Name.StartOffset, CodeDuplicate, "field %q occurs twice", name)
 		default:
-			seen[name] = true
-			d.decode(&member.Value, into.Field(index), path)
+			d.decode(&member.Value, into.Field(index))
 		}
+		d.leave()
 	}
 }
 
-func (d *decoder) decodeArray(value *hujson.Value, into reflect.Value, field string) {
+// occursBefore reports whether an earlier member than i has the name. Objects of
+// known fields are short.
+func occursBefore(object *hujson.Object, i int, name string) bool {
+	for j := range i {
+		if memberName(object.Members[j]) == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *decoder) decodeArray(value *hujson.Value, into reflect.Value) {
 	array, ok := value.Value.(*hujson.Array)
 	if !ok {
-		d.report(value.StartOffset, field, CodeType, "expected an array")
+		d.report(value.StartOffset, CodeType, "expected an array")
 		return
 	}
 	elements := reflect.MakeSlice(into.Type(), len(array.Elements), len(array.Elements))
 	for i := range array.Elements {
-		d.decode(&array.Elements[i], elements.Index(i), fmt.Sprintf("%s[%d]", field, i))
+		d.enter(pathStep{element: true, index: i})
+		d.decode(&array.Elements[i], elements.Index(i))
+		d.leave()
 	}
 	into.Set(elements)
 }
 
-// jsonFields returns the index of each field of a struct type by its JSON name.
+var knownFields sync.Map // of map[string]int by reflect.Type
+
+// jsonFields returns the index of each exported field of a struct type by its
+// JSON name.
 func jsonFields(t reflect.Type) map[string]int {
+	if fields, ok := knownFields.Load(t); ok {
+		return fields.(map[string]int)
+	}
 	fields := make(map[string]int, t.NumField())
 	for i := range t.NumField() {
 		if t.Field(i).IsExported() {
 			fields[jsonName(t.Field(i))] = i
 		}
 	}
+	knownFields.Store(t, fields)
 	return fields
 }
 
--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"reflect"
-	"strings"
+	"slices"
 
 	"github.com/tailscale/hujson"
 )
@@ -36,7 +36,7 @@
 // hold keep their values.
 func (d *Document) Decode(into any) {
 	if d.parsed {
-		d.decoder.decode(&d.root, reflect.ValueOf(into).Elem(), "")
+		d.decoder.decode(&d.root, reflect.ValueOf(into).Elem())
 	}
 }
 
@@ -52,10 +52,5 @@
 // Invalid returns an *InvalidError with the issues of decoding and the given
 // ones, or nil if there are none.
 func (d *Document) Invalid(more []Issue) error {
-	all := make([]Issue, 0, len(d.decoder.issues)+len(more))
-	for _, issue := range d.decoder.issues {
-		issue.Field = strings.TrimPrefix(issue.Field, ".")
-		all = append(all, issue)
-	}
-	return invalid(append(all, more...))
+	return invalid(slices.Concat(d.decoder.issues, more))
 }
--- a/internal/configuration/load.go
+++ b/internal/configuration/load.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/tailscale/hujson"
 )
@@ -26,8 +27,8 @@
 		return nil, &InvalidError{Issues: []Issue{{File: ".", Code: CodeUnreadable, Detail: err.Error()}}}
 	}
 	m := merger{origins: origins{elements: map[string][]origin{}}}
-	for _, name := range names {
-		m.read(dir, name)
+	for _, file := range readFiles(dir, names) {
+		m.add(file)
 	}
 	m.issues = append(m.issues, validate(&m.merged, &m.origins)...)
 	if err := invalid(m.issues); err != nil {
@@ -59,80 +60,93 @@
 	return extension == ".jsonc" || extension == ".json"
 }
 
-// merger accumulates the files of a folder.
-type merger struct {
-	merged  Configuration
-	origins origins
+// maxParallelFiles bounds the files that are decoded at the same time.
+const maxParallelFiles = 4
+
+// readFiles decodes files and returns them in the order of names.
+func readFiles(dir fs.FS, names []string) []*loadedFile {
+	files := make([]*loadedFile, len(names))
+	slots := make(chan struct{}, maxParallelFiles)
+	var readers sync.WaitGroup
+	for i, name := range names {
+		slots <- struct{}{}
+		readers.Go(func() {
+			defer func() { <-slots }()
+			files[i] = readFile(dir, name)
+		})
+	}
+	readers.Wait()
+	return files
+}
+
+// loadedFile is one decoded file.
+type loadedFile struct {
+	source  sourceFile
+	content Configuration
+	origins map[string][]origin // by collection
 	issues  []Issue
 }
 
-func (m *merger) read(dir fs.FS, name string) {
+func readFile(dir fs.FS, name string) *loadedFile {
 	data, err := fs.ReadFile(dir, name)
 	if err != nil {
-		m.issues = append(m.issues, Issue{File: name, Line: 1, Code: CodeUnreadable, Detail: err.Error()})
-		return
+		issue := Issue{File: name, Line: 1, Code: CodeUnreadable, Detail: err.Error()}
+		return &loadedFile{source: sourceFile{name: name}, issues: []Issue{issue}}
 	}
-	d := &decoder{file: newSourceFile(name, data)}
-	m.origins.files = append(m.origins.files, d.file)
-	m.mergeFile(d)
-	m.issues = append(m.issues, d.issues...)
-}
-
-func (m *merger) mergeFile(d *decoder) {
+	f := &loadedFile{source: newSourceFile(name, data), origins: map[string][]origin{}}
 	// The parser keeps references to its input and may change it.
-	root, err := hujson.Parse(bytes.Clone(d.file.data))
+	root, err := hujson.Parse(bytes.Clone(data))
 	if err != nil {
-		m.issues = append(m.issues, Issue{File: d.file.name, Line: syntaxLine(err), Code: CodeSyntax, Detail: err.Error()})
-		return
+		f.issues = []Issue{{File: name, Line: syntaxLine(err), Code: CodeSyntax, Detail: err.Error()}}
+		return f
 	}
+	d := &decoder{file: f.source}
+	d.decode(&root, reflect.ValueOf(&f.content).Elem())
+	f.issues = d.issues
+	f.locate(&root)
+	return f
+}
+
+// locate records where each element stands.
+func (f *loadedFile) locate(root *hujson.Value) {
 	object, ok := root.Value.(*hujson.Object)
 	if !ok {
-		d.report(root.StartOffset, "", CodeType, "the file must hold one object")
 		return
 	}
-	target := reflect.ValueOf(&m.merged).Elem()
-	fields := jsonFields(target.Type())
-	seen := make(map[string]bool, len(object.Members))
 	for i := range object.Members {
-		member := &object.Members[i]
-		name := memberName(*member)
-		index, known := fields[name]
-		switch {
-		case !known:
-			d.report(member.Name.StartOffset, abbreviate(name), CodeUnknownField, "field %q does not exist", abbreviate(name))
-		case seen[name]:
-			d.report(member.Name.StartOffset, name, CodeDuplicate, "field %q occurs twice in this file", name)
-		default:
-			seen[name] = true
-			m.mergeField(d, name, &member.Value, target.Field(index))
+		name := memberName(object.Members[i])
+		array, isArray := object.Members[i].Value.Value.(*hujson.Array)
+		if !isArray || occursBefore(object, i, name) {
+			continue
+		}
+		for j := range array.Elements {
+			f.origins[name] = append(f.origins[name], origin{
+				index: int32(j),
+				start: array.Elements[j].StartOffset,
+				end:   array.Elements[j].EndOffset,
+			})
 		}
 	}
 }
 
-func (m *merger) mergeField(d *decoder, name string, value *hujson.Value, into reflect.Value) {
-	array, ok := value.Value.(*hujson.Array)
-	if !ok {
-		d.report(value.StartOffset, name, CodeType, "expected an array")
-		return
-	}
-	into.Grow(len(array.Elements))
-	for i := range array.Elements {
-		element := &array.Elements[i]
-		last := into.Len()
-		into.SetLen(last + 1)
-		into.Index(last).SetZero()
-		d.decode(element, into.Index(last), joinField(name, i, ""))
-		m.addOrigin(name, i, element)
-	}
+// merger accumulates the files of a folder.
+type merger struct {
+	merged  Configuration
+	origins origins
+	issues  []Issue
 }
 
-func (m *merger) addOrigin(name string, index int, value *hujson.Value) {
-	m.origins.elements[name] = append(m.origins.elements[name], origin{
-		file:  int32(len(m.origins.files) - 1),
-		index: int32(index),
-		start: value.StartOffset,
-		end:   value.EndOffset,
-	})
+func (m *merger) add(f *loadedFile) {
+	number := int32(len(m.origins.files))
+	m.origins.files = append(m.origins.files, f.source)
+	m.issues = append(m.issues, f.issues...)
+	m.merged.appendObjects(&f.content)
+	for collection, places := range f.origins {
+		for i := range places {
+			places[i].file = number
+		}
+		m.origins.elements[collection] = append(m.origins.elements[collection], places...)
+	}
 }
 
 // syntaxLine reads the line from the parser's message, which begins with
--- a/internal/configuration/origin.go
+++ b/internal/configuration/origin.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 )
@@ -111,5 +112,14 @@
 	if !ok {
 		return ""
 	}
-	return literal.String()
+	return text(literal)
+}
+
+// text returns the string that a literal stands for. The parser has checked the
+// literal.
+func text(literal hujson.Literal) string {
+	if literal.Kind() != '"' || bytes.IndexByte(literal, '\\') >= 0 || !utf8.Valid(literal) {
+		return literal.String()
+	}
+	return string(literal[1 : len(literal)-1])
 }
