Borrow from several hosts at the same time

Cause: callers that move between hosts leave their share behind; one loan at a time from one lender could not follow. Change: a flight asks groups of hosts in parallel (lenders of late, hosts that leaders name), until enough is lent; requests wake at each loan; the demand's average is longer; suggestions name the largest share as well as the largest surplus.

--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -8,15 +8,15 @@
 	"time"
 
 	"peridotrail/internal/allotment"
-	"peridotrail/internal/host"
 )
 
 const (
-	demandHalfLifeMin = 2 * time.Second
+	demandHalfLifeMin = 10 * time.Second
 	demandHalfLifeMax = 60 * time.Second
 	demandEvents      = 20 // requests that a half-life covers, within its limits
 	demandDigits      = 2  // significant digits that are reported
 	batchTime         = 250 * time.Millisecond
+	lowTime           = 100 * time.Millisecond
 	reserveTime       = 20 * time.Millisecond
 	maxBatchPart      = 0.25 // of the account's burst
 )
@@ -25,6 +25,7 @@
 type account struct {
 	name     string
 	attempts atomic.Int64 // since the last measurement of the demand
+	waiting  atomic.Int64 // requests that wait for tokens
 
 	mu       sync.Mutex // guards the fields below; never held across I/O
 	bucket   *allotment.Bucket
@@ -35,25 +36,46 @@
 	flight   *flight // borrowing under way, nil if none
 	retryAt  time.Time
 	backoff  time.Duration
-	lender   host.ID // lent last
+	lenders  lenderMemory
+	loaned   chan struct{} // closed and replaced at each loan
 }
 
 // flight is one attempt to borrow, shared by all requests that wait for it.
 type flight struct {
-	done chan struct{}
+	account *account
+	want    float64
+	done    chan struct{}
+	tokens  float64 // borrowed so far; guarded by the account's mu
+}
+
+func (f *flight) add(tokens float64) {
+	f.account.mu.Lock()
+	defer f.account.mu.Unlock()
+	f.tokens += tokens
+}
+
+func (f *flight) lent() float64 {
+	f.account.mu.Lock()
+	defer f.account.mu.Unlock()
+	return f.tokens
 }
 
 func newAccount(name string, margin time.Duration) *account {
 	bucket := allotment.NewBucket(margin)
 	bucket.StartLoans(allotment.LoanID(rand.Uint64() >> 1))
-	return &account{name: name, bucket: bucket}
+	return &account{name: name, bucket: bucket, loaned: make(chan struct{})}
 }
 
-// take spends a token, borrowed ones first.
-func (a *account) take(now time.Time) bool {
+// take spends a token, borrowed ones first. Low says that the host should borrow
+// before it runs out: it lives on loans, and has few tokens left.
+func (a *account) take(now time.Time) (ok, low bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.borrowed.Take(now) || a.bucket.Take(now)
+	if a.borrowed.Take(now) {
+		left := a.borrowed.Tokens(now) + a.bucket.Tokens(now)
+		return true, left < a.demand*lowTime.Seconds()
+	}
+	return a.bucket.Take(now), false
 }
 
 // measure folds the attempts since the last call into the demand.
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -20,7 +20,7 @@
 	defaultMargin  = 500 * time.Millisecond
 	defaultMaxWait = 100 * time.Millisecond
 	retryAfterMax  = 5 * time.Second
-	maxFlights     = 3 // borrowing attempts that one request waits for
+	maxWaiting     = 256 // requests of one account that wait for tokens
 )
 
 // Leadership tells which host leads the failure domain.
@@ -86,7 +86,11 @@
 		return &UnknownAccountError{Account: name}
 	}
 	acct.attempts.Add(1)
-	if acct.take(a.options.Now()) {
+	ok, low := acct.take(a.options.Now())
+	if low {
+		a.borrow(acct)
+	}
+	if ok {
 		a.stats.admitted.Inc(1)
 		return nil
 	}
@@ -96,14 +100,20 @@
 // admitSlowly borrows tokens, or waits for others that borrow, until there is
 // one for this request or the wait has lasted too long.
 func (a *Admitter) admitSlowly(ctx context.Context, acct *account) error {
+	defer acct.waiting.Add(-1)
+	if acct.waiting.Add(1) > maxWaiting {
+		return a.refuse(acct)
+	}
 	timer := time.NewTimer(a.options.MaxWait)
 	defer timer.Stop()
-	for range maxFlights {
+	for {
+		loaned := acct.nextLoan()
 		f := a.borrow(acct)
 		if f == nil {
-			break
+			return a.refuse(acct)
 		}
 		select {
+		case <-loaned:
 		case <-f.done:
 		case <-timer.C:
 			return a.refuse(acct)
@@ -111,12 +121,18 @@
 			a.stats.abandoned.Inc(1)
 			return context.Cause(ctx)
 		}
-		if acct.take(a.options.Now()) {
+		if ok, _ := acct.take(a.options.Now()); ok {
 			a.stats.borrowed.Inc(1)
 			return nil
 		}
 	}
-	return a.refuse(acct)
+}
+
+// nextLoan returns a channel that is closed when tokens are lent.
+func (a *account) nextLoan() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.loaned
 }
 
 func (a *Admitter) refuse(acct *account) error {
--- a/internal/admission/borrow.go
+++ b/internal/admission/borrow.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"peridotrail/internal/allotment"
@@ -18,8 +20,7 @@
 	nearTimeout    = 8 * time.Millisecond  // for a host of the own failure domain
 	farTimeout     = 60 * time.Millisecond // for a host of another failure domain
 	flightTimeout  = 250 * time.Millisecond
-	maxAsked       = 4 // hosts of the own domain asked in one flight
-	maxAskedFar    = 3 // hosts of other domains asked in one flight
+	maxRounds      = 4 // groups of hosts asked in one flight
 	backoffMin     = 4 * time.Millisecond
 	backoffMax     = 200 * time.Millisecond
 	maxSuggestions = 4
@@ -52,20 +53,32 @@
 	if now.Before(acct.retryAt) {
 		return nil
 	}
-	f := &flight{done: make(chan struct{})}
-	acct.flight = f
-	go a.fly(acct, f)
-	return f
+	acct.flight = &flight{account: acct, want: acct.wanted(now), done: make(chan struct{})}
+	go a.fly(acct.flight)
+	return acct.flight
 }
 
-// fly asks other hosts for tokens until one lends.
-func (a *Admitter) fly(acct *account, f *flight) {
+// fly asks other hosts for tokens until enough are lent or nobody is left to ask.
+func (a *Admitter) fly(f *flight) {
 	ctx, cancel := context.WithTimeout(context.Background(), flightTimeout)
 	defer cancel()
-	ok := a.askAll(ctx, acct)
+	s := newSearch(a, f.account)
+	for range maxRounds {
+		members := s.next()
+		if len(members) == 0 || f.lent() >= f.want/2 || ctx.Err() != nil {
+			break
+		}
+		s.suggest(a.askAll(ctx, f, members))
+	}
+	a.land(f)
+}
+
+// land ends a flight. One that brought nothing delays the next.
+func (a *Admitter) land(f *flight) {
 	now := a.options.Now()
+	acct := f.account
 	acct.mu.Lock()
-	if ok {
+	if f.tokens > 0 {
 		acct.backoff = 0
 	} else {
 		acct.backoff = min(max(2*acct.backoff, backoffMin), backoffMax)
@@ -76,57 +89,63 @@
 	close(f.done)
 }
 
-// askAll asks the last lender, then the hosts that the leader suggests, then
-// hosts of other failure domains.
-func (a *Admitter) askAll(ctx context.Context, acct *account) bool {
-	s := newSearch(a, acct)
-	for s.near < maxAsked || s.far < maxAskedFar {
-		member, ok := s.next()
-		if !ok || ctx.Err() != nil {
-			return false
-		}
-		lent, suggested := a.ask(ctx, acct, member)
-		if lent {
-			return true
-		}
-		s.suggest(suggested)
+// askAll asks hosts at the same time and returns the hosts that they suggest.
+func (a *Admitter) askAll(ctx context.Context, f *flight, members []host.Identity) []host.ID {
+	suggested := make([][]host.ID, len(members))
+	want := math.Max(math.Ceil(f.want/float64(len(members))), 1)
+	var group sync.WaitGroup
+	for i, member := range members {
+		group.Go(func() { suggested[i] = a.ask(ctx, f, member, want) })
 	}
-	return false
+	group.Wait()
+	return slices.Concat(suggested...)
 }
 
 // ask requests tokens of one host and settles its earlier loans.
-func (a *Admitter) ask(ctx context.Context, acct *account, lender host.Identity) (bool, []host.ID) {
+func (a *Admitter) ask(ctx context.Context, f *flight, lender host.Identity, want float64) []host.ID {
 	timeout := farTimeout
 	if lender.FailureDomain == a.options.View.Self().FailureDomain {
 		timeout = nearTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	acct := f.account
 	asked := a.options.Now()
 	key := allotment.Lender{Host: lender.ID, Incarnation: lender.Incarnation}
 	acct.mu.Lock()
-	request := BorrowRequest{Account: acct.name, Want: acct.wanted(asked), Settlements: acct.borrowed.Settlements(asked, key), Lender: key.Incarnation}
+	settlements := acct.borrowed.Settlements(asked, key)
 	acct.mu.Unlock()
+	request := BorrowRequest{Account: acct.name, Want: want, Settlements: settlements, Lender: key.Incarnation}
 	a.stats.asked.Inc(1)
 	var response BorrowResponse
 	if err := a.options.Caller.Call(ctx, lender.Fleet, KindBorrow, request, &response); err != nil {
 		a.stats.askFailed.Inc(1)
-		return false, nil
+		acct.forget(lender.ID)
+		return nil
 	}
-	now := a.options.Now()
-	acct.mu.Lock()
-	defer acct.mu.Unlock()
-	acct.borrowed.Acknowledge(key, request.Settlements)
-	key.Incarnation = response.Incarnation
-	acct.borrowed.Add(now, asked, key, response.Loan)
-	if response.Loan.Tokens < 1 {
-		if acct.lender == lender.ID {
-			acct.lender = ""
-		}
-		return false, response.Lenders
+	acct.accept(a.options.Now(), asked, key, settlements, response)
+	f.add(response.Loan.Tokens)
+	return response.Lenders
+}
+
+// accept takes a lender's answer and wakes the requests that wait.
+func (a *account) accept(now, asked time.Time, lender allotment.Lender, settled []allotment.Settlement, response BorrowResponse) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.borrowed.Acknowledge(lender, settled)
+	lender.Incarnation = response.Incarnation
+	a.borrowed.Add(now, asked, lender, response.Loan)
+	a.lenders.note(lender.Host, response.Loan.Tokens >= 1)
+	if response.Loan.Tokens >= 1 {
+		close(a.loaned)
+		a.loaned = make(chan struct{})
 	}
-	acct.lender = lender.ID
-	return true, nil
+}
+
+func (a *account) forget(lender host.ID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lenders.note(lender, false)
 }
 
 // handleBorrow lends tokens of this host's share.
@@ -170,75 +189,3 @@
 	}
 	return []host.ID{leader.ID}
 }
-
-// search orders the hosts that one flight asks.
-type search struct {
-	self   host.Identity
-	live   map[host.ID]host.Identity
-	queue  []host.ID // of the own domain, or suggested
-	others []host.ID // of other domains, in random order
-	asked  map[host.ID]bool
-	near   int
-	far    int
-}
-
-func newSearch(a *Admitter, acct *account) *search {
-	s := &search{self: a.options.View.Self(), live: map[host.ID]host.Identity{}, asked: map[host.ID]bool{}}
-	for _, m := range a.options.View.Members() {
-		if m.State != host.StateLive {
-			continue
-		}
-		s.live[m.Identity.ID] = m.Identity
-		if m.Identity.FailureDomain != s.self.FailureDomain {
-			s.others = append(s.others, m.Identity.ID)
-		}
-	}
-	rand.Shuffle(len(s.others), func(i, j int) { s.others[i], s.others[j] = s.others[j], s.others[i] })
-	acct.mu.Lock()
-	s.queue = append(s.queue, acct.lender)
-	acct.mu.Unlock()
-	leader, _, ok := a.options.Leadership.Current()
-	switch {
-	case ok && leader.ID == s.self.ID && a.options.Lenders != nil:
-		s.queue = append(s.queue, a.options.Lenders(acct.name, s.self.ID)...)
-	case ok:
-		s.queue = append(s.queue, leader.ID)
-	}
-	return s
-}
-
-// suggest puts the hosts that another host named before all others.
-func (s *search) suggest(ids []host.ID) { s.queue = slices.Concat(ids, s.queue) }
-
-// next returns the next host to ask, once each.
-func (s *search) next() (host.Identity, bool) {
-	for len(s.queue) > 0 {
-		id := s.queue[0]
-		s.queue = s.queue[1:]
-		if member, ok := s.take(id); ok {
-			return member, true
-		}
-	}
-	for len(s.others) > 0 && s.far < maxAskedFar {
-		id := s.others[0]
-		s.others = s.others[1:]
-		if member, ok := s.take(id); ok {
-			return member, true
-		}
-	}
-	return host.Identity{}, false
-}
-
-func (s *search) take(id host.ID) (host.Identity, bool) {
-	member, live := s.live[id]
-	if !live || s.asked[id] {
-		return host.Identity{}, false
-	}
-	s.asked[id] = true
-	if member.FailureDomain == s.self.FailureDomain {
-		s.near++
-	} else {
-		s.far++
-	}
-	return member, true
-}
--- a/internal/allotment/domain.go
+++ b/internal/allotment/domain.go
@@ -27,7 +27,7 @@
 
 // resize hysteresis of a host's share.
 const (
-	resizeFraction = 0.1  // of the present share
+	resizeFraction = 0.2  // of the present share
 	resizeMinimum  = 0.01 // of the whole
 )
 
--- a/internal/allotment/domainquery.go
+++ b/internal/allotment/domainquery.go
@@ -18,29 +18,59 @@
 	return true
 }
 
-// Lenders returns the hosts whose share of a resource exceeds their demand, the
-// largest surplus first, without the given one.
-func (d *DomainAllotment) Lenders(now time.Time, r Resource, except host.ID) []host.ID {
-	type lender struct {
-		id    host.ID
-		spare float64
+// candidate is a possible lender of an account.
+type candidate struct {
+	name   string
+	rate   float64
+	demand float64
+}
+
+// bestLenders returns the names of up to n candidates, in turn the one with the
+// largest surplus of rate over demand and the one with the largest rate: the
+// demand of a host or domain that its callers have left is known late.
+func bestLenders(candidates []candidate, n int) []string {
+	var names []string
+	for i := 0; len(names) < n && len(candidates) > 0; i++ {
+		best := slices.MaxFunc(candidates, func(a, b candidate) int {
+			if i%2 == 0 {
+				return cmp.Compare(a.rate-a.demand, b.rate-b.demand)
+			}
+			return cmp.Compare(a.rate, b.rate)
+		})
+		names = append(names, best.name)
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.name == best.name })
 	}
-	var found []lender
+	return names
+}
+
+// Lenders returns up to n hosts that can probably lend of a resource, without the
+// given one.
+func (d *DomainAllotment) Lenders(now time.Time, r Resource, except host.ID, n int) []host.ID {
+	var candidates []candidate
 	for _, key := range d.activeHolders(now) {
 		e := d.holders[key].entries[r]
-		if e == nil || key.id == except || e.confirmed.Rate <= 0 {
-			continue
+		if e != nil && key.id != except && e.confirmed.Rate > 0 {
+			candidates = append(candidates, candidate{string(key.id), e.confirmed.Rate, e.demand})
 		}
-		found = append(found, lender{key.id, e.confirmed.Rate - e.demand})
 	}
-	slices.SortStableFunc(found, func(a, b lender) int { return cmp.Compare(b.spare, a.spare) })
-	ids := make([]host.ID, len(found))
-	for i, l := range found {
-		ids[i] = l.id
+	var ids []host.ID
+	for _, name := range bestLenders(candidates, n) {
+		ids = append(ids, host.ID(name))
 	}
 	return ids
 }
 
+// Lenders returns up to n domains that can probably lend, without the given one.
+func (a *FleetAccount) Lenders(except string, n int) []string {
+	var candidates []candidate
+	for _, d := range a.Domains {
+		if d.Domain != except && !d.Total().IsZero() {
+			candidates = append(candidates, candidate{d.Domain, d.Total().Rate, d.Demand})
+		}
+	}
+	return bestLenders(candidates, n)
+}
+
 // Holders returns the number of processes that may hold shares.
 func (d *DomainAllotment) Holders() int { return len(d.holders) }
 
--- a/internal/allotment/leader/reign.go
+++ b/internal/allotment/leader/reign.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -248,29 +247,18 @@
 	farLenders  = 2 // suggested leaders of other domains
 )
 
-// lenders returns hosts of the domain with the largest surplus, then leaders of
-// other domains with the largest surplus.
+// lenders returns hosts of the domain and then leaders of other domains: of each
+// the one with the largest surplus and the one with the largest share.
 func (r *reign) lenders(now time.Time, account string, borrower host.ID) []host.ID {
-	near := r.hosts.Lenders(now, allotment.AccountResource(account), borrower)
-	ids := near[:min(len(near), nearLenders)]
+	ids := r.hosts.Lenders(now, allotment.AccountResource(account), borrower, nearLenders)
 	a := r.views[allotment.DocumentOf(account)].Document().Account(account)
 	if a == nil {
 		return ids
 	}
-	shares := slices.Clone(a.Domains)
-	slices.SortStableFunc(shares, func(x, y allotment.DomainShare) int {
-		return cmp.Compare(y.Total().Rate-y.Demand, x.Total().Rate-x.Demand)
-	})
-	far := 0
-	for _, share := range shares {
-		id := r.observer.Leader(share.Domain)
-		if share.Domain == r.options.Self.FailureDomain || id == "" || id == borrower || share.Total().IsZero() {
-			continue
-		}
-		if far++; far > farLenders {
-			break
+	for _, domain := range a.Lenders(r.options.Self.FailureDomain, farLenders) {
+		if id := r.observer.Leader(domain); id != "" && id != borrower {
+			ids = append(ids, id)
 		}
-		ids = append(ids, id)
 	}
 	return ids
 }
