--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -20,7 +20,8 @@
 	defaultMargin  = 500 * time.Millisecond
 	defaultMaxWait = 100 * time.Millisecond
 	retryAfterMax  = 5 * time.Second
-	maxFlights     = 3 // borrowing attempts that one request waits for
+	patientBackoff = 40 * time.Millisecond // longer pauses between flights refuse requests at once
+	maxWaiting     = 256                   // requests of one account that wait for tokens
 )
 
 // Leadership tells which host leads the failure domain.
@@ -86,7 +87,11 @@
 		return &UnknownAccountError{Account: name}
 	}
 	acct.attempts.Add(1)
-	if acct.take(a.options.Now()) {
+	ok, low := acct.take(a.options.Now())
+	if low {
+		a.borrow(acct)
+	}
+	if ok {
 		a.stats.admitted.Inc(1)
 		return nil
 	}
@@ -96,27 +101,57 @@
 // admitSlowly borrows tokens, or waits for others that borrow, until there is
 // one for this request or the wait has lasted too long.
 func (a *Admitter) admitSlowly(ctx context.Context, acct *account) error {
+	defer acct.waiting.Add(-1)
+	if acct.waiting.Add(1) > maxWaiting {
+		return a.refuse(acct)
+	}
 	timer := time.NewTimer(a.options.MaxWait)
 	defer timer.Stop()
-	for range maxFlights {
-		f := a.borrow(acct)
-		if f == nil {
-			break
+	for {
+		loaned := acct.nextLoan()
+		landed, ok := a.landing(acct)
+		if !ok {
+			return a.refuse(acct)
 		}
 		select {
-		case <-f.done:
+		case <-loaned:
+		case <-landed:
 		case <-timer.C:
 			return a.refuse(acct)
 		case <-ctx.Done():
 			a.stats.abandoned.Inc(1)
 			return context.Cause(ctx)
 		}
-		if acct.take(a.options.Now()) {
+		if ok, _ := acct.take(a.options.Now()); ok {
 			a.stats.borrowed.Inc(1)
 			return nil
 		}
 	}
-	return a.refuse(acct)
+}
+
+// landing returns a channel that is ready when a flight has ended, or when the
+// pause before the next one is over. It returns false if the account has had no
+// luck for a while, so that its requests are refused at once.
+func (a *Admitter) landing(acct *account) (<-chan struct{}, bool) {
+	if f := a.borrow(acct); f != nil {
+		return f.done, true
+	}
+	now := a.options.Now()
+	acct.mu.Lock()
+	defer acct.mu.Unlock()
+	if acct.backoff > patientBackoff {
+		return nil, false
+	}
+	over := make(chan struct{})
+	time.AfterFunc(min(acct.retryAt.Sub(now), acct.bucket.Wait(now, patientBackoff)), func() { close(over) })
+	return over, true
+}
+
+// nextLoan returns a channel that is closed when tokens are lent.
+func (a *account) nextLoan() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.loaned
 }
 
 func (a *Admitter) refuse(acct *account) error {
