--- a/internal/entry/access_log.go
+++ b/internal/entry/access_log.go
@@ -20,6 +20,7 @@
 		"status", w.status,
 		"relayed", x.relayed,
 		"cut", x.cut,
+		"callerGone", x.gone,
 		"durationMicroseconds", time.Since(x.start).Microseconds(),
 	}
 	if x.service != nil {
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -12,7 +12,7 @@
 	Service     string
 	Account     string // empty on open routes
 	Good        bool   // answered whole, without a failure of the system or an upstream
-	CallerFault bool   // the caller was over its rate, or its request was not acceptable
+	CallerFault bool   // the caller went away or was over its rate, or its request was not acceptable
 	Latency     time.Duration
 }
 
@@ -20,6 +20,8 @@
 func (x *exchange) ended(status int) Ended {
 	e := Ended{Service: x.service.Name, Account: x.account, Latency: time.Since(x.start)}
 	switch {
+	case x.gone:
+		e.CallerFault = true
 	case x.refusal != nil:
 		e.CallerFault = isCallerFault(x.refusal.Type)
 	case status == 0 || x.cut:
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -44,6 +44,7 @@
 
 	mayHaveRun bool // bytes of the request may have reached an upstream
 	cut        bool
+	gone       bool // the caller went away before the end
 	target     string
 	refusal    *problem.Problem
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -21,6 +21,7 @@
 	executed   problem.Executed
 	retryAfter time.Duration
 	detail     string
+	dropIdle   bool             // the connection may carry answers to other requests
 	refusal    *problem.Problem // of the entry host that the request was relayed to
 }
 
@@ -49,6 +50,9 @@
 	}
 	defer response.Body.Close()
 	if failure := x.checkResponse(request, response, target.IsPeer); failure != nil {
+		if failure.dropIdle {
+			dropIdleConnections(permit.Transport())
+		}
 		return x.failed(&outcome, failure)
 	}
 	if bodyLength(request, response) < 0 || bodyLength(request, response) > forward.WholeBytes {
@@ -128,11 +132,18 @@
 		return &sendFailure{result: upstream.ResultShed, executed: problem.ExecutedNo, retryAfter: retryAfter(response.Header)}
 	}
 	if err := forward.CheckResponse(request, response, RequestIDHeader, x.id); err != nil {
-		return &sendFailure{result: upstream.ResultFailed, executed: problem.ExecutedUnknown, detail: err.Error()}
+		return &sendFailure{result: upstream.ResultFailed, executed: problem.ExecutedUnknown, detail: err.Error(), dropIdle: true}
 	}
 	return nil
 }
 
+// dropIdleConnections closes the connections that carry no request.
+func dropIdleConnections(transport http.RoundTripper) {
+	if closer, ok := transport.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
+
 func saysNotRun(response *http.Response) bool {
 	switch response.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/internal/entry/front_door.go
+++ b/internal/entry/front_door.go
@@ -114,6 +114,7 @@
 	if x.payload != nil {
 		x.payload.Release()
 	}
+	x.gone = r.Context().Err() != nil
 	f.metrics.observe(x, time.Since(x.start))
 	if f.options.Ended != nil && x.service != nil && !x.relayed {
 		f.options.Ended(x.ended(w.status))
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -19,6 +19,7 @@
 	registry    metrics.Registry
 	requests    metrics.Counter
 	cut         metrics.Counter
+	gone        metrics.Counter // requests whose caller went away
 	panics      metrics.Counter
 	unconfirmed metrics.Counter   // ends of attempts that a keeper did not confirm
 	latency     metrics.Histogram // microseconds
@@ -29,6 +30,7 @@
 	return &frontDoorMetrics{
 		registry:    registry,
 		requests:    metrics.GetOrRegisterCounter("entry.requests", registry),
+		gone:        metrics.GetOrRegisterCounter("entry.callers.gone", registry),
 		cut:         metrics.GetOrRegisterCounter("entry.answers.cut", registry),
 		panics:      metrics.GetOrRegisterCounter("entry.panics", registry),
 		unconfirmed: metrics.GetOrRegisterCounter("entry.idempotency.unconfirmed", registry),
@@ -43,6 +45,10 @@
 	if x.cut {
 		m.cut.Inc(1)
 	}
+	if x.gone {
+		m.gone.Inc(1)
+		return
+	}
 	if x.refusal != nil {
 		metrics.GetOrRegisterCounter(refusalMetric(x.refusal.Type), m.registry).Inc(1)
 	}
--- a/internal/entry/traps_test.go
+++ b/internal/entry/traps_test.go
@@ -113,6 +113,33 @@
 	require.Equal(t, "unknown", response.Header.Get(problem.ExecutedHeader))
 }
 
+// An upstream that echoes request IDs and crosses two answers is found out, and
+// the connection is not used again.
+func TestCrossedAnswerIsNotPassedOn(t *testing.T) {
+	var conns atomic.Int64
+	address := serveRaw(t, func(conn net.Conn, in *bufio.Reader) {
+		first := conns.Add(1) == 1
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			id := r.Header.Get(RequestIDHeader)
+			if first {
+				id = "another"
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+RequestIDHeader+": "+id+"\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	h := newHarness(t, nil, address)
+	response, _ := h.do(h.request("POST", "/desk/x", ""))
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	require.Equal(t, "unknown", response.Header.Get(problem.ExecutedHeader))
+	response, _ = h.do(h.request("POST", "/desk/x", ""))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, int64(2), conns.Load())
+}
+
 func TestNothingIsSentBeforeTheBodyIsWanted(t *testing.T) {
 	var contacted atomic.Int64
 	address := serveUpstream(t, func(w http.ResponseWriter, r *http.Request) {
@@ -213,7 +240,8 @@
 		<-r.Context().Done()
 		close(cancelled)
 	})
-	h := newHarness(t, nil, address)
+	ended := make(chan Ended, 1)
+	h := newHarness(t, func(o *Options) { o.Ended = func(e Ended) { ended <- e } }, address)
 	conn, err := net.Dial("tcp", h.address)
 	require.NoError(t, err)
 	_, _ = io.WriteString(conn, "GET /desk/list HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+testKey+"\r\n\r\n")
@@ -221,6 +249,7 @@
 	conn.Close()
 	<-cancelled
 	require.Equal(t, upstream.ResultCancelled, (<-h.outcomes).Result)
+	require.True(t, (<-ended).CallerFault)
 }
 
 func TestPanicEndsOneRequestOnly(t *testing.T) {
