Show confirmed revisions in status

Cause: a host knows the revision in force of the members of its own domain only, so status could not say which revision is where. Change: with a store named, status also lists what each domain's leader has confirmed and which hosts lag; a store that is down is said so and does not make status fail. Tested: go test ./internal/ctl. Conclusion: status answers which revision is where for the whole fleet.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -75,6 +75,17 @@
 	return s
 }
 
+// confirm writes what the leader of a failure domain would.
+func (b *bench) confirm(domain string, c distribution.Confirmation) {
+	value, err := json.Marshal(c)
+	require.NoError(b.t, err)
+	key := distribution.ConfirmationKey(domain)
+	old, err := b.store.Get(b.t.Context(), key)
+	require.NoError(b.t, err)
+	_, err = b.store.CompareAndSwap(b.t.Context(), platform.Write{Key: key, Value: value, Expected: old.Revision})
+	require.NoError(b.t, err)
+}
+
 func TestFolderIsAppliedOnceAndConflictsAreNamed(t *testing.T) {
 	b := newBench(t)
 	out, _ := b.run(exitOK, "check", b.dir)
@@ -189,14 +200,7 @@
 		{Name: "e1", FailureDomain: "east"}, {Name: "e2", FailureDomain: "east"},
 		{Name: "w1", FailureDomain: "west"}, {Name: "w2", FailureDomain: "west", Leaving: true},
 	})
-	confirm := func(domain string, c distribution.Confirmation) {
-		value, err := json.Marshal(c)
-		require.NoError(t, err)
-		old, err := b.store.Get(t.Context(), distribution.ConfirmationKey(domain))
-		require.NoError(t, err)
-		_, err = b.store.CompareAndSwap(t.Context(), platform.Write{Key: old.Key, Value: value, Expected: old.Revision})
-		require.NoError(t, err)
-	}
+	confirm := b.confirm
 	_, stderr := b.run(exitUnconfirmed, "apply", b.dir, "--wait", "--timeout", "100ms")
 	require.Contains(t, stderr, "failure domain east has confirmed revision 0; waiting for hosts: e1, e2")
 	require.Contains(t, stderr, "failure domain west has confirmed revision 0; waiting for hosts: w1\n")
@@ -239,6 +243,14 @@
 	out, _ = b.run(exitOK, "status", "--host", server.URL)
 	require.Contains(t, out, "host e1")
 	require.Contains(t, out, "20.0%")
+	require.NotContains(t, out, "CONFIRMED")
+
+	b.confirm("east", distribution.Confirmation{Revision: 2, Leader: "e1", Epoch: 4, Hosts: 3, Lagging: []host.ID{"e2"}})
+	out, _ = b.run(exitOK, "status", "--host", server.URL)
+	require.Regexp(t, `east +2 +3 +e1 +4 +e2`, out)
+	b.store.SetDown(true)
+	out, _ = b.run(exitOK, "status", "--host", server.URL)
+	require.Contains(t, out, "confirmed revisions are not known: ")
 }
 
 func TestBurnIsReported(t *testing.T) {
--- a/internal/ctl/host.go
+++ b/internal/ctl/host.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +16,8 @@
 
 	"peridotrail/internal/api"
 	"peridotrail/internal/configuration"
+	"peridotrail/internal/distribution"
+	"peridotrail/internal/host"
 	"peridotrail/internal/problem"
 )
 
@@ -147,7 +150,65 @@
 	if err := a.fetch(ctx, c, api.StatusPath, nil, &answer); err != nil {
 		return err
 	}
-	return a.print(outputOf(c), answer, func(w io.Writer) { statusTable(w, answer) })
+	full := statusOutput{StatusAnswer: answer}
+	full.Confirmed, full.StoreError = a.confirmed(ctx, c)
+	return a.print(outputOf(c), full, func(w io.Writer) {
+		statusTable(w, answer)
+		full.confirmedTable(w)
+	})
+}
+
+// statusOutput is the answer of status.
+type statusOutput struct {
+	api.StatusAnswer
+	Confirmed  []confirmedDomain `json:"confirmed,omitempty"`  // from the store, if one is named
+	StoreError string            `json:"storeError,omitempty"` // why Confirmed is absent
+}
+
+// confirmedDomain is what the leader of a failure domain has confirmed.
+type confirmedDomain struct {
+	FailureDomain string `json:"failureDomain"`
+	distribution.Confirmation
+}
+
+// confirmed reads the confirmations if a store is named. A store that cannot be
+// reached does not make status fail.
+func (a *App) confirmed(ctx context.Context, c *cli.Command) ([]confirmedDomain, string) {
+	if len(c.StringSlice(flagStore)) == 0 {
+		return nil, ""
+	}
+	store, err := a.store(c)
+	if err != nil {
+		return nil, err.Error()
+	}
+	entries, err := store.List(ctx, distribution.ConfirmationPrefix)
+	if err != nil {
+		return nil, err.Error()
+	}
+	var domains []confirmedDomain
+	for domain, confirmation := range readConfirmations(entries) {
+		domains = append(domains, confirmedDomain{domain, confirmation})
+	}
+	slices.SortFunc(domains, func(x, y confirmedDomain) int { return strings.Compare(x.FailureDomain, y.FailureDomain) })
+	return domains, ""
+}
+
+func (s statusOutput) confirmedTable(w io.Writer) {
+	if s.StoreError != "" {
+		_, _ = fmt.Fprintf(w, "\nconfirmed revisions are not known: %s\n", s.StoreError)
+	}
+	section(w, "CONFIRMED (in force on every live host, from the store)",
+		[]any{"FAILURE DOMAIN", "REVISION", "HOSTS", "LEADER", "EPOCH", "LAGGING"}, s.Confirmed,
+		func(d confirmedDomain) []any {
+			return []any{d.FailureDomain, d.Revision, d.Hosts, d.Leader, d.Epoch, lagging(d.Lagging)}
+		})
+}
+
+func lagging(hosts []host.ID) string {
+	if len(hosts) == 0 {
+		return "-"
+	}
+	return joinHosts(hosts)
 }
 
 // statusTable writes the status as one screen.
