Write burn series at once and every two minutes

Cause: the report of a fresh fleet stayed empty for more than five minutes. Change: a leader writes the series with its first collection, then every two minutes. Tested: go test -count 3 ./internal/servicelevel, -race -short. Conclusion: a full series of four weeks has 18 KB, so 20 objectives cost a leader 3 KB a second.

--- a/internal/servicelevel/collect.go
+++ b/internal/servicelevel/collect.go
@@ -63,7 +63,7 @@
 			t.warn("burn not read", Prefix, err)
 			return
 		}
-		*c = collector{epoch: epoch, documents: documents, written: now}
+		*c = collector{epoch: epoch, documents: documents}
 	}
 	through := MinuteOf(now) - settleMinutes
 	c.collect(snapshot.Objectives, through, t.gather(ctx, c.oldest(through), through))
--- a/internal/servicelevel/tracker.go
+++ b/internal/servicelevel/tracker.go
@@ -66,7 +66,7 @@
 const (
 	collectPeriod = time.Minute
 	settleMinutes = 2               // a minute is closed when it is older
-	writePeriod   = 5 * time.Minute // between writes of one series
+	writePeriod   = 2 * time.Minute // between writes of one series; the first is at once
 	callTimeout   = 2 * time.Second
 	storeTimeout  = 5 * time.Second
 )
