Let shares of domains follow a slow average of the demand

Cause: shares that follow each move of the callers start empty at the new place and are unused while they move. Change: a domain's demand has a half-life of 30 s and a host's of 20 s or more; a host's share holds at least 4 requests of burst, smaller ones are held whole.

--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	demandHalfLifeMin = 10 * time.Second
+	demandHalfLifeMin = 20 * time.Second
 	demandHalfLifeMax = 60 * time.Second
 	demandEvents      = 20 // requests that a half-life covers, within its limits
 	demandDigits      = 2  // significant digits that are reported
--- a/internal/allotment/division.go
+++ b/internal/allotment/division.go
@@ -9,7 +9,7 @@
 	// idleFraction is the fraction of a whole that is divided without regard to demand.
 	idleFraction = 0.1
 	// minHostBurst is the smallest burst worth a bucket of its own, in requests.
-	minHostBurst = 2.0
+	minHostBurst = 4.0
 	// keepFactor is how much another holder's demand must exceed the present one's
 	// before an undivided whole moves.
 	keepFactor = 8.0
--- a/internal/allotment/leader/reign.go
+++ b/internal/allotment/leader/reign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -23,6 +24,8 @@
 	views    []*allotment.FleetView
 	hosts    *allotment.DomainAllotment
 	accounts map[string]struct{} // with a share in hosts
+	demands  map[string]float64  // of the accounts, averaged over demandHalfLife
+	averaged time.Time
 	// upstreams of the last configuration
 	upstreams map[string]struct{}
 }
@@ -38,6 +41,8 @@
 		observer:  allotment.NewDomainObserver(now, o.Self.FailureDomain, t.DomainTerm, t.Margin),
 		hosts:     allotment.NewDomainAllotment(now, epoch, allotment.Terms{Term: t.HostTerm, Margin: t.Margin, Hold: defaultHold}),
 		accounts:  map[string]struct{}{},
+		demands:   map[string]float64{},
+		averaged:  now,
 		upstreams: map[string]struct{}{},
 	}
 	for i := range allotment.DocumentCount {
@@ -163,9 +168,7 @@
 		Generations:   r.observer.Generations(),
 		FloorFraction: r.options.FloorFraction,
 		ExtraValid:    r.extraValid(now),
-		Demand: func(account string) float64 {
-			return r.hosts.Demand(now, allotment.AccountResource(account))
-		},
+		Demand:        func(account string) float64 { return r.demands[account] },
 		InEffect: func(account string, limit allotment.Share) bool {
 			return r.hosts.InEffect(now, allotment.AccountResource(account), limit)
 		},
@@ -188,8 +191,23 @@
 	return in
 }
 
+// demandHalfLife is the half-life of the domain's demand. Shares of domains follow
+// it slowly; tokens that are lent follow the callers at once.
+const demandHalfLife = 30 * time.Second
+
+// average folds the present demand of the hosts into the domain's demand.
+func (r *reign) average(now time.Time, snapshot *configuration.Snapshot) {
+	keep := math.Exp2(-now.Sub(r.averaged).Seconds() / demandHalfLife.Seconds())
+	r.averaged = now
+	for _, a := range snapshot.ClientAccounts {
+		present := r.hosts.Demand(now, allotment.AccountResource(a.Name))
+		r.demands[a.Name] = r.demands[a.Name]*keep + present*(1-keep)
+	}
+}
+
 // plan returns the writes of documents that are due.
 func (r *reign) plan(now time.Time, snapshot *configuration.Snapshot, operation func() string) map[int]platform.Write {
+	r.average(now, snapshot)
 	writes := map[int]platform.Write{}
 	for i, view := range r.views {
 		if !view.Loaded() {
