--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -113,14 +113,10 @@
 	return math.Round(x*scale) / scale
 }
 
-// wanted returns how many tokens to borrow at once: what the present demand
-// spends in batchTime. The caller holds mu.
-func (a *account) wanted(now time.Time) float64 {
-	demand := a.demand
-	if elapsed := now.Sub(a.measured).Seconds(); !a.measured.IsZero() {
-		demand = math.Max(demand, float64(a.attempts.Load())/math.Max(elapsed, batchTime.Seconds()))
-	}
-	batch := math.Ceil(demand * batchTime.Seconds())
+// wanted returns how many tokens to borrow at once: one for each request that
+// waits, or what the demand spends in batchTime. The caller holds mu.
+func (a *account) wanted() float64 {
+	batch := math.Max(float64(a.waiting.Load()), math.Ceil(a.demand*batchTime.Seconds()))
 	return math.Max(math.Min(batch, a.burst*maxBatchPart), 1)
 }
 
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -18,7 +18,7 @@
 const (
 	loanTerm       = time.Second
 	defaultMargin  = 500 * time.Millisecond
-	defaultMaxWait = 100 * time.Millisecond
+	defaultMaxWait = 150 * time.Millisecond
 	retryAfterMax  = 5 * time.Second
 	patientBackoff = 40 * time.Millisecond // longer pauses between flights refuse requests at once
 	maxWaiting     = 256                   // requests of one account that wait for tokens
@@ -39,7 +39,7 @@
 	// Lenders returns hosts of the domain that can probably lend tokens of an
 	// account, best first. It is nil or returns nothing unless this host leads.
 	Lenders func(account string, borrower host.ID) []host.ID
-	MaxWait time.Duration    // longest wait of one request for tokens; 100 ms if zero
+	MaxWait time.Duration    // longest wait of one request for tokens; 150 ms if zero
 	Now     func() time.Time // time.Now if nil
 	Metrics metrics.Registry // a private one if nil
 }
--- a/internal/admission/borrow.go
+++ b/internal/admission/borrow.go
@@ -53,7 +53,7 @@
 	if now.Before(acct.retryAt) {
 		return nil
 	}
-	acct.flight = &flight{account: acct, want: acct.wanted(now), done: make(chan struct{})}
+	acct.flight = &flight{account: acct, want: acct.wanted(), done: make(chan struct{})}
 	go a.fly(acct.flight)
 	return acct.flight
 }
--- a/internal/admission/settle.go
+++ b/internal/admission/settle.go
@@ -13,7 +13,8 @@
 const (
 	settlePeriod  = 100 * time.Millisecond
 	settleTimeout = 200 * time.Millisecond
-	maxSettling   = 8 // messages under way
+	maxSettling   = 8                      // messages under way
+	returnBefore  = 500 * time.Millisecond // unspent tokens go back this long before the loan ends
 )
 
 // Run settles ended loans until ctx ends, so that the lenders can lend again.
@@ -36,6 +37,7 @@
 	now := a.options.Now()
 	for _, acct := range *a.accounts.Load() {
 		acct.mu.Lock()
+		acct.borrowed.Return(now, returnBefore)
 		lenders := acct.borrowed.Lenders(now)
 		acct.mu.Unlock()
 		for _, lender := range lenders {
@@ -90,7 +92,7 @@
 	now := a.options.Now()
 	for _, acct := range *a.accounts.Load() {
 		acct.mu.Lock()
-		acct.borrowed.Return()
+		acct.borrowed.Return(now, loanTerm)
 		lenders := acct.borrowed.Lenders(now)
 		acct.mu.Unlock()
 		for _, lender := range lenders {
--- a/internal/allotment/borrowed.go
+++ b/internal/allotment/borrowed.go
@@ -145,9 +145,15 @@
 	}
 }
 
-// Return gives up all borrowed tokens, so that their settlements can be sent.
-func (b *Borrowed) Return() {
-	for len(b.credits) > 0 {
-		b.finish(len(b.credits) - 1)
+// Return gives up the tokens of loans that end within left, so that their
+// settlements bring the tokens back to the lender in time.
+func (b *Borrowed) Return(now time.Time, left time.Duration) {
+	b.expire(now)
+	for i := 0; i < len(b.credits); {
+		if b.credits[i].until.Sub(now) > left {
+			i++
+			continue
+		}
+		b.finish(i)
 	}
 }
