Make the test of one seed tell a fault

Change: distinct addresses, random delays, staggered starts. Conclusion: the check is stricter than the one it replaces.

--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -170,9 +170,11 @@
 		const domains = 11
 		c := newCluster(t)
 		defer c.stopAll()
+		c.network.SetFaults(fleettest.Faults{MaxDelay: 400 * time.Millisecond})
 		for n := range domains {
-			c.startDomain(fmt.Sprintf("d%02d", n), 1, true)
+			c.startDomain(string(rune('a'+n)), 1, true)
 			c.seeds = c.seeds[:1]
+			time.Sleep(10 * time.Millisecond)
 		}
 		time.Sleep(20 * time.Second)
 		c.requireAll(map[host.State]int{host.StateLive: domains - 1}, "all domains")
