Show shares, drains, shifts and burn in the status answer

Cause: status named members and slots only, so an operator saw neither what holds which budget nor what moves. Change: accounts with share, tokens and counts; upstreams with queue and health; drains with requests left; shifts with progress; local burn; leader epochs. The capacity command separates hosts and leaders.

--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -26,6 +26,8 @@
 	name     string
 	attempts atomic.Int64 // since the last measurement of the demand
 	waiting  atomic.Int64 // requests that wait for tokens
+	admitted atomic.Int64 // requests since the start
+	refused  atomic.Int64 // requests over the rate since the start
 
 	mu       sync.Mutex // guards the fields below; never held across I/O
 	bucket   *allotment.Bucket
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -93,6 +93,7 @@
 	}
 	if ok {
 		a.stats.admitted.Inc(1)
+		acct.admitted.Add(1)
 		return nil
 	}
 	return a.admitSlowly(ctx, acct)
@@ -124,6 +125,7 @@
 		}
 		if ok, _ := acct.take(a.options.Now()); ok {
 			a.stats.borrowed.Inc(1)
+			acct.admitted.Add(1)
 			return nil
 		}
 	}
@@ -165,6 +167,7 @@
 		return &NotReadyError{Account: acct.name}
 	}
 	a.stats.refused.Inc(1)
+	acct.refused.Add(1)
 	return &RateExceededError{Account: acct.name, RetryAfter: max(wait, time.Millisecond)}
 }
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -7,6 +7,8 @@
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/host"
 	"peridotrail/internal/membership"
+	"peridotrail/internal/steering"
+	"peridotrail/internal/upstream"
 )
 
 // Ready reports whether the host has a configuration in force and shares of the
@@ -19,15 +21,20 @@
 func (h *Host) Status(now time.Time) api.StatusAnswer {
 	view := h.state.members.View()
 	answer := api.StatusAnswer{
-		Host:    h.self.ID,
-		Time:    now,
-		Members: h.memberStatus(view),
-		Leaders: leaderStatus(view),
+		Host:     h.self.ID,
+		Time:     now,
+		Members:  h.memberStatus(view),
+		Leaders:  h.leaderStatus(view),
+		Accounts: h.accountStatus(now),
+		Shifts:   h.shiftStatus(),
+		Burn:     h.state.burn.LocalBurn(now),
 	}
 	if snapshot := h.inForce.Current(); snapshot != nil {
+		loads := h.front.dispatcher.Loads()
 		answer.Revision = snapshot.Revision
 		answer.Digest = snapshot.Digest
-		answer.Upstreams = h.upstreamStatus(snapshot)
+		answer.Upstreams = h.upstreamStatus(snapshot, loads)
+		answer.Drains = drainStatus(snapshot, loads, now)
 	}
 	return answer
 }
@@ -50,28 +57,92 @@
 	return members
 }
 
-func leaderStatus(view *membership.View) []api.Leader {
+// leaderStatus lists the leaders. The epoch of a failure domain with which this
+// host exchanges no summaries is zero.
+func (h *Host) leaderStatus(view *membership.View) []api.Leader {
+	epochs := map[string]uint64{}
+	for _, digest := range view.Remote {
+		epochs[digest.Domain] = digest.LeaderEpoch
+	}
+	if _, epoch, ok := h.state.leaders.Current(); ok {
+		epochs[h.self.FailureDomain] = epoch
+	}
 	var leaders []api.Leader
 	for _, domain := range view.Domains {
 		if domain.Leader != "" {
-			leaders = append(leaders, api.Leader{FailureDomain: domain.Domain, Host: domain.Leader})
+			leaders = append(leaders, api.Leader{FailureDomain: domain.Domain, Host: domain.Leader, Epoch: epochs[domain.Domain]})
 		}
 	}
 	return leaders
 }
 
-func (h *Host) upstreamStatus(snapshot *configuration.Snapshot) []api.UpstreamUse {
+func (h *Host) accountStatus(now time.Time) []api.AccountShare {
+	var shares []api.AccountShare
+	for _, state := range h.state.admitter.States(now) {
+		shares = append(shares, api.AccountShare{
+			Account: state.Account, Rate: state.Share.Rate, Burst: state.Share.Burst, Tokens: state.Tokens,
+			Admitted: state.Admitted, Refused: state.Refused,
+		})
+	}
+	return shares
+}
+
+func (h *Host) shiftStatus() []api.ShiftProgress {
+	var shifts []api.ShiftProgress
+	for _, p := range steering.ReadShifts(h.state.distributor.State().List(steering.ShiftPrefix)) {
+		if !p.Ended() {
+			shifts = append(shifts, api.ShiftProgress{Name: p.Name, From: p.From, To: p.To, Moved: p.Moved, Goal: p.Goal})
+		}
+	}
+	return shifts
+}
+
+func (h *Host) upstreamStatus(snapshot *configuration.Snapshot, loads []upstream.Load) []api.UpstreamUse {
 	services := map[string]string{}
-	for _, u := range snapshot.Configuration.Upstreams {
+	for _, u := range snapshot.Upstreams {
 		services[u.Name] = u.Service
 	}
 	now := time.Now()
 	var uses []api.UpstreamUse
-	for _, load := range h.front.dispatcher.Loads() {
+	for _, load := range loads {
 		uses = append(uses, api.UpstreamUse{
-			Upstream: load.Upstream, Service: services[load.Upstream],
-			Slots: h.state.capacity.Slots(load.Upstream, now), InUse: load.InUse,
+			Upstream: load.Upstream, Service: services[load.Upstream], Healthy: load.Serving,
+			Slots: h.state.capacity.Slots(load.Upstream, now), InUse: load.InUse, Queued: load.Queued,
 		})
 	}
 	return uses
 }
+
+// drainStatus gives the requests that this host still runs at drained upstreams.
+func drainStatus(snapshot *configuration.Snapshot, loads []upstream.Load, now time.Time) []api.DrainProgress {
+	inUse := map[string]int{}
+	for _, load := range loads {
+		inUse[load.Upstream] = load.InUse
+	}
+	var drains []api.DrainProgress
+	for _, drain := range snapshot.Drains {
+		progress := api.DrainProgress{Name: drain.Name, Kind: drain.Kind, Target: drain.Target}
+		for _, u := range snapshot.Upstreams {
+			if !drain.Start.After(now) && covers(snapshot, drain, u) {
+				progress.Left += inUse[u.Name]
+			}
+		}
+		drains = append(drains, progress)
+	}
+	return drains
+}
+
+// covers reports whether a drain covers an upstream.
+func covers(snapshot *configuration.Snapshot, drain configuration.Drain, u configuration.Upstream) bool {
+	switch drain.Kind {
+	case configuration.DrainUpstream:
+		return drain.Target == u.Name
+	case configuration.DrainFailureDomain:
+		return drain.Target == u.FailureDomain
+	case configuration.DrainRegion:
+		domain := snapshot.Domain(u.FailureDomain)
+		return domain != nil && drain.Target == domain.Region
+	default:
+		return false
+	}
+}
--- a/internal/upstream/dispatcher.go
+++ b/internal/upstream/dispatcher.go
@@ -90,18 +90,27 @@
 type Load struct {
 	Upstream string
 	InUse    int
-	Wanted   int // slots that this host could use now
+	Wanted   int  // slots that this host could use now
+	Queued   int  // requests of the service that wait, divided among its upstreams
+	Serving  bool // neither ejected nor drained
 }
 
 // Loads returns the use of every upstream of the failure domain.
 func (d *Dispatcher) Loads() []Load {
+	now := d.now()
 	var loads []Load
 	for _, l := range d.current().lanes {
 		l.mu.Lock()
 		queued := l.pool.queue.len()
 		for _, w := range l.pool.workers {
 			share := (queued + len(l.pool.workers) - 1) / len(l.pool.workers)
-			loads = append(loads, Load{Upstream: w.upstream.Name, InUse: w.inUse, Wanted: w.inUse + share})
+			loads = append(loads, Load{
+				Upstream: w.upstream.Name,
+				InUse:    w.inUse,
+				Wanted:   w.inUse + share,
+				Queued:   share,
+				Serving:  w.health.state != healthEjected && !w.drained(now),
+			})
 		}
 		l.mu.Unlock()
 	}
--- a/test/capacity/figures.go
+++ b/test/capacity/figures.go
@@ -59,8 +59,8 @@
 		unit string
 		of   func(sample) float64
 	}{
-		{"bytes sent", "bytes/s a host", func(s sample) float64 { return s.bytesSent }},
-		{"bytes received", "bytes/s a host", func(s sample) float64 { return s.bytesReceived }},
+		{"bytes of a host", "bytes/s", func(s sample) float64 { return s.hostBytes }},
+		{"bytes of a leader", "bytes/s", func(s sample) float64 { return s.leaderBytes }},
 		{"processor time", "cores a host", func(s sample) float64 { return s.cpu }},
 		{"heap", "bytes a host", func(s sample) float64 { return s.heap }},
 		{"store reads", "calls/s", func(s sample) float64 { return s.storeReads }},
--- a/test/capacity/fleets.go
+++ b/test/capacity/fleets.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"runtime"
+	"slices"
 	"syscall"
 	"time"
 
@@ -38,10 +39,10 @@
 // sample is what one fleet costs. Rates are per second.
 type sample struct {
 	size
-	bytesSent     float64 // a host
-	bytesReceived float64 // a host
-	cpu           float64 // of a core, a host
-	heap          float64 // bytes, a host
+	hostBytes   float64 // sent and received, median of the hosts that do not lead
+	leaderBytes float64 // sent and received, largest of all hosts
+	cpu         float64 // of a core, mean of all hosts
+	heap        float64 // bytes, mean of all hosts
 	storeReads    float64 // the whole fleet
 	storeWrites   float64 // the whole fleet
 	inForce       time.Duration
@@ -55,8 +56,8 @@
 		if err != nil {
 			return nil, err
 		}
-		fmt.Printf("  sent %.0f B/s, received %.0f B/s, cpu %.3f%%, heap %.1f MB a host; store reads %.1f/s, writes %.1f/s; in force after %s\n",
-			measured.bytesSent, measured.bytesReceived, 100*measured.cpu, measured.heap/1e6, measured.storeReads, measured.storeWrites, measured.inForce)
+		fmt.Printf("  host %.0f B/s, leader %.0f B/s, cpu %.3f%%, heap %.1f MB a host; store reads %.1f/s, writes %.1f/s; in force after %s\n",
+			measured.hostBytes, measured.leaderBytes, 100*measured.cpu, measured.heap/1e6, measured.storeReads, measured.storeWrites, measured.inForce)
 		samples = append(samples, measured)
 	}
 	return samples, nil
@@ -93,20 +94,18 @@
 
 // observation is a reading of all counters.
 type observation struct {
-	at       time.Time
-	sent     float64
-	received float64
-	cpu      time.Duration
-	reads    int64
-	writes   int64
+	at     time.Time
+	bytes  []float64 // sent and received, by host
+	cpu    time.Duration
+	reads  int64
+	writes int64
 }
 
 func observe(f *localfleet.Fleet) observation {
 	o := observation{at: time.Now(), cpu: processorTime()}
 	for i := range f.Len() {
 		traffic := f.Host(i).Traffic()
-		o.sent += float64(traffic.BytesSent)
-		o.received += float64(traffic.BytesReceived)
+		o.bytes = append(o.bytes, float64(traffic.BytesSent+traffic.BytesReceived))
 	}
 	calls := f.Store.Calls()
 	o.reads, o.writes = calls.Reads(), calls.Writes()
@@ -115,8 +114,13 @@
 
 func (s *sample) fill(before, after observation, hosts float64) {
 	seconds := after.at.Sub(before.at).Seconds()
-	s.bytesSent = (after.sent - before.sent) / seconds / hosts
-	s.bytesReceived = (after.received - before.received) / seconds / hosts
+	rates := make([]float64, len(after.bytes))
+	for i := range rates {
+		rates[i] = (after.bytes[i] - before.bytes[i]) / seconds
+	}
+	slices.Sort(rates)
+	s.hostBytes = rates[(len(rates)-s.domains)/2]
+	s.leaderBytes = rates[len(rates)-1]
 	s.cpu = (after.cpu - before.cpu).Seconds() / seconds / hosts
 	s.storeReads = float64(after.reads-before.reads) / seconds
 	s.storeWrites = float64(after.writes-before.writes) / seconds
@@ -182,9 +186,19 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
+// heapInUse returns the live heap and stacks, after garbage of earlier
+// measurements has gone.
 func heapInUse() float64 {
-	runtime.GC()
+	for range collections {
+		runtime.GC()
+		time.Sleep(collectPause)
+	}
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapInuse + stats.StackInuse)
+	return float64(stats.HeapAlloc + stats.StackInuse)
 }
+
+const (
+	collections  = 3
+	collectPause = 300 * time.Millisecond
+)
