--- a/test/capacity/fleets.go
+++ b/test/capacity/fleets.go
@@ -43,9 +43,9 @@
 	leaderBytes float64 // sent and received, largest of all hosts
 	cpu         float64 // of a core, mean of all hosts
 	heap        float64 // bytes, mean of all hosts
-	storeReads    float64 // the whole fleet
-	storeWrites   float64 // the whole fleet
-	inForce       time.Duration
+	storeReads  float64 // the whole fleet
+	storeWrites float64 // the whole fleet
+	inForce     time.Duration
 }
 
 func measureFleets(ctx context.Context, settle, length time.Duration) ([]sample, error) {
