--- a/internal/fleet/transport_test.go
+++ b/internal/fleet/transport_test.go
@@ -5,13 +5,13 @@
 	"io"
 	"net/netip"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"peridotrail/internal/fleet"
+	"peridotrail/internal/fleet/fleettest"
 	"peridotrail/internal/fleet/keys"
 	"peridotrail/internal/host"
 )
@@ -25,35 +25,15 @@
 func (codedError) Error() string     { return "no room" }
 func (codedError) FleetCode() string { return "no-room" }
 
-// process is one transport that runs until the test ends.
-type process struct {
-	*fleet.Transport
-	stop func()
-}
-
-func (p process) addr() netip.AddrPort { return p.Self().Fleet }
-
 type setup struct {
-	id          host.ID
-	domain      string
-	name        keys.Name // in the certificate; the identity's if empty
-	source      keys.Source
-	incarnation host.Incarnation
-	listen      netip.AddrPort
-	frame       int
-	calls       int
-	filter      func(netip.AddrPort) bool
-	configure   func(*fleet.Transport)
-}
-
-func authority(t *testing.T) *keys.Authority {
-	t.Helper()
-	created, err := keys.Ephemeral()
-	require.NoError(t, err)
-	return created
+	id        host.ID
+	domain    string
+	name      keys.Name // in the certificate; the identity's if empty
+	frame     int
+	configure func(*fleet.Transport)
 }
 
-func start(t *testing.T, ca *keys.Authority, s setup) process {
+func start(t *testing.T, ca *keys.Authority, s setup) *fleettest.Process {
 	t.Helper()
 	if s.domain == "" {
 		s.domain = "toronto"
@@ -61,54 +41,22 @@
 	if s.name == (keys.Name{}) {
 		s.name = keys.Name{Host: s.id, FailureDomain: s.domain}
 	}
-	if s.source == nil {
-		material, err := ca.Material(s.name)
-		require.NoError(t, err)
-		s.source = keys.NewHolder(material)
-	}
-	if s.incarnation == 0 {
-		s.incarnation = 1
-	}
-	if !s.listen.IsValid() {
-		s.listen = netip.MustParseAddrPort("127.0.0.1:0")
-	}
-	transport, err := fleet.New(fleet.Options{
-		Self:            host.Identity{ID: s.id, Incarnation: s.incarnation, FailureDomain: s.domain},
-		Listen:          s.listen,
-		TLS:             s.source,
-		MaxFrameSize:    s.frame,
-		MaxCallsPerPeer: s.calls,
-		Filter:          s.filter,
-	})
+	material, err := ca.Material(s.name)
 	require.NoError(t, err)
-	transport.Handle("echo", func(_ context.Context, from host.Identity, decode fleet.Decoder) (any, error) {
-		var in ping
-		if err := decode(&in); err != nil {
-			return nil, err
+	configured := options(s.id, s.domain)
+	configured.TLS = keys.NewHolder(material)
+	configured.MaxFrameSize = s.frame
+	return fleettest.Start(t, ca, configured, func(transport *fleet.Transport) {
+		echo(transport)
+		transport.Handle("fail", func(context.Context, host.Identity, fleet.Decoder) (any, error) { return nil, codedError{} })
+		transport.Handle("panic", func(context.Context, host.Identity, fleet.Decoder) (any, error) { panic("boom") })
+		if s.configure != nil {
+			s.configure(transport)
 		}
-		return ping{Text: string(from.ID) + ":" + in.Text}, nil
 	})
-	transport.Handle("fail", func(context.Context, host.Identity, fleet.Decoder) (any, error) { return nil, codedError{} })
-	transport.Handle("panic", func(context.Context, host.Identity, fleet.Decoder) (any, error) { panic("boom") })
-	transport.Handle("wait", func(ctx context.Context, _ host.Identity, _ fleet.Decoder) (any, error) {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	})
-	if s.configure != nil {
-		s.configure(transport)
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	var running sync.WaitGroup
-	running.Go(func() { _ = transport.Run(ctx) })
-	stop := func() {
-		cancel()
-		running.Wait()
-	}
-	t.Cleanup(stop)
-	return process{Transport: transport, stop: stop}
 }
 
-func call(t *testing.T, from process, to netip.AddrPort, kind fleet.Kind, request any) (ping, error) {
+func call(t *testing.T, from *fleettest.Process, to netip.AddrPort, kind fleet.Kind, request any) (ping, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -118,7 +66,7 @@
 }
 
 func TestCall(t *testing.T) {
-	ca := authority(t)
+	ca := fleettest.Authority(t)
 	a := start(t, ca, setup{id: "a"})
 	b := start(t, ca, setup{id: "b", domain: "detroit", frame: 4096})
 	large := ping{Text: strings.Repeat("x", 8192)}
@@ -131,15 +79,15 @@
 		fails   fleet.ErrorKind
 		code    string
 	}{
-		{name: "answered", to: b.addr(), kind: "echo", request: ping{Text: "hi"}, want: "a:hi"},
-		{name: "to itself", to: a.addr(), kind: "echo", request: ping{Text: "hi"}, want: "a:hi"},
-		{name: "handler error", to: b.addr(), kind: "fail", request: ping{}, fails: fleet.KindHandler, code: "no-room"},
-		{name: "handler panic", to: b.addr(), kind: "panic", request: ping{}, fails: fleet.KindHandler, code: fleet.CodePanic},
-		{name: "unknown kind", to: b.addr(), kind: "none", request: ping{}, fails: fleet.KindRefused, code: fleet.CodeUnknownKind},
-		{name: "not decodable", to: b.addr(), kind: "echo", request: "text", fails: fleet.KindInvalid},
-		{name: "not encodable", to: b.addr(), kind: "echo", request: func() {}, fails: fleet.KindInvalid},
-		{name: "larger than the receiver accepts", to: b.addr(), kind: "echo", request: large, fails: fleet.KindRefused},
-		{name: "answered after failures", to: b.addr(), kind: "echo", request: ping{Text: "hi"}, want: "a:hi"},
+		{name: "answered", to: b.Addr(), kind: "echo", request: ping{Text: "hi"}, want: "a:hi"},
+		{name: "to itself", to: a.Addr(), kind: "echo", request: ping{Text: "hi"}, want: "a:hi"},
+		{name: "handler error", to: b.Addr(), kind: "fail", request: ping{}, fails: fleet.KindHandler, code: "no-room"},
+		{name: "handler panic", to: b.Addr(), kind: "panic", request: ping{}, fails: fleet.KindHandler, code: fleet.CodePanic},
+		{name: "unknown kind", to: b.Addr(), kind: "none", request: ping{}, fails: fleet.KindRefused, code: fleet.CodeUnknownKind},
+		{name: "not decodable", to: b.Addr(), kind: "echo", request: "text", fails: fleet.KindInvalid},
+		{name: "not encodable", to: b.Addr(), kind: "echo", request: func() {}, fails: fleet.KindInvalid},
+		{name: "larger than the receiver accepts", to: b.Addr(), kind: "echo", request: large, fails: fleet.KindRefused},
+		{name: "answered after failures", to: b.Addr(), kind: "echo", request: ping{Text: "hi"}, want: "a:hi"},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -158,7 +106,7 @@
 }
 
 func TestCallDeadlineReachesHandler(t *testing.T) {
-	ca := authority(t)
+	ca := fleettest.Authority(t)
 	ended := make(chan error, 1)
 	a := start(t, ca, setup{id: "a"})
 	b := start(t, ca, setup{id: "b", configure: func(transport *fleet.Transport) {
@@ -170,15 +118,15 @@
 	}})
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	err := a.Call(ctx, b.addr(), "wait", ping{}, nil)
+	err := a.Call(ctx, b.Addr(), "wait", ping{}, nil)
 	require.True(t, fleet.IsKind(err, fleet.KindTimeout), "%v", err)
 	require.Error(t, <-ended)
 }
 
 func TestIdentity(t *testing.T) {
-	ca, other := authority(t), authority(t)
+	ca, other := fleettest.Authority(t), fleettest.Authority(t)
 	b := start(t, ca, setup{id: "b"})
-	cases := map[string]process{
+	cases := map[string]*fleettest.Process{
 		"wrong authority":      start(t, other, setup{id: "a"}),
 		"other host's name":    start(t, ca, setup{id: "a", name: keys.Name{Host: "c", FailureDomain: "toronto"}}),
 		"other failure domain": start(t, ca, setup{id: "a", name: keys.Name{Host: "a", FailureDomain: "detroit"}}),
@@ -186,11 +134,11 @@
 	}
 	for name, a := range cases {
 		t.Run(name, func(t *testing.T) {
-			_, err := call(t, a, b.addr(), "echo", ping{})
+			_, err := call(t, a, b.Addr(), "echo", ping{})
 			var failure *fleet.Error
 			require.ErrorAs(t, err, &failure)
 			require.True(t, failure.NotHandled(), "%v", err)
-			_, err = call(t, b, a.addr(), "echo", ping{})
+			_, err = call(t, b, a.Addr(), "echo", ping{})
 			require.ErrorAs(t, err, &failure)
 			require.True(t, failure.NotHandled(), "%v", err)
 		})
@@ -198,7 +146,7 @@
 }
 
 func TestStreamEnds(t *testing.T) {
-	ca := authority(t)
+	ca := fleettest.Authority(t)
 	a := start(t, ca, setup{id: "a"})
 	b := start(t, ca, setup{id: "b", configure: func(transport *fleet.Transport) {
 		transport.HandleStream("whole", func(_ context.Context, _ host.Identity, stream fleet.Stream) {
@@ -226,7 +174,7 @@
 	}
 	for _, test := range cases {
 		t.Run(string(test.kind), func(t *testing.T) {
-			stream, err := a.OpenStream(t.Context(), b.addr(), test.kind)
+			stream, err := a.OpenStream(t.Context(), b.Addr(), test.kind)
 			require.NoError(t, err)
 			defer stream.Close()
 			_, _ = stream.Write([]byte("body"))
