Count keyed requests of open routes to their account's fair share

Cause: all requests of open routes waited in one queue, so an account at five times its rate crowded the others out of an open service. Change: a valid key on an open route chooses the fair share while the request waits; it still gives no rights and uses up no rate. Open requests without a key share one part. The measure command also prints refusals, late answers, cuts and p99 of each account.

--- a/internal/entry/authenticate.go
+++ b/internal/entry/authenticate.go
@@ -16,7 +16,9 @@
 		x := exchangeOf(r)
 		known := x.readKey(r)
 		if x.open {
-			if !known {
+			if known {
+				x.shareOf(x.account)
+			} else {
 				x.key = ""
 			}
 			x.account = ""
@@ -56,13 +58,21 @@
 		return
 	}
 	invariant.Check(x.account != "", invariant.KeyOwnsRequest, "request %s has no client account", x.id)
-	if account := x.policy.Account(x.account); account != nil {
-		x.weight = account.Weight
-	}
+	x.shareOf(x.account)
 	x.ctx = ctx
 	next.ServeHTTP(w, r)
 }
 
+// shareOf counts the request against the fair share of an account under
+// shortage. On open routes this is all that a key does: it gives no rights and
+// uses up no rate. Open requests without a key share one part.
+func (x *exchange) shareOf(account string) {
+	x.queue = account
+	if owner := x.policy.Account(account); owner != nil {
+		x.weight = owner.Weight
+	}
+}
+
 // register makes ctx end when the key is withdrawn. The key may have been
 // withdrawn since it was looked up, hence the second look-up.
 func (f *FrontDoor) register(ctx context.Context, x *exchange) (context.Context, *clientaccount.Request, *problem.Problem) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -61,7 +61,7 @@
 func (x *exchange) work() upstream.Work {
 	return upstream.Work{
 		Service:    x.service.Name,
-		Account:    x.account,
+		Account:    x.queue,
 		Weight:     x.weight,
 		Priority:   x.priority,
 		Deadline:   x.deadline,
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -31,6 +31,7 @@
 	key     string // the caller's key; never logged
 	digest  clientaccount.Digest
 	account string
+	queue   string // account whose fair share the request uses while it waits
 	weight  int
 
 	deadline time.Time
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -54,6 +54,7 @@
 	_, x.path = cutService(r.URL.Path)
 	_, x.rawPath = cutService(r.URL.EscapedPath())
 	x.account = header.Get(relayAccount)
+	x.queue = x.account
 	x.weight, _ = strconv.Atoi(header.Get(relayWeight)) // zero counts as one
 	x.priority = priorityOf(header.Get(relayPriority))
 	x.idempotent = header.Get(relayIdempotent) == "true"
--- a/test/measure/report.go
+++ b/test/measure/report.go
@@ -51,12 +51,13 @@
 
 func (r *Report) printAccounts(w io.Writer) {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "policy\taccount\toffered\tinside\tserved\tlimited")
+	fmt.Fprintln(table, "policy\taccount\toffered\tinside\tserved\tlimited\trefused\tlate\tcut\tp99 ms")
 	for _, result := range r.Results {
 		names := slices.Sorted(maps.Keys(result.accounts))
 		for _, name := range names {
 			a := result.accounts[name]
-			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\n", result.Policy, name, a.offered, a.inside, a.served, a.limited)
+			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\n", result.Policy, name, a.offered, a.inside,
+				a.served, a.limited, a.refused, a.late, a.cut, float64(a.latency.ValueAtQuantile(99))/1000)
 		}
 	}
 	_ = table.Flush() // standard output
--- a/test/measure/tally.go
+++ b/test/measure/tally.go
@@ -31,6 +31,10 @@
 	inside  int // within rate and burst, by an exact token bucket
 	served  int // whole answers within the deadline
 	limited int // refused because of the rate
+	refused int // refused for another reason
+	late    int // whole answers after the deadline
+	cut     int // no answer, or a part of one
+	latency *hdrhistogram.Histogram
 	tokens  float64
 	at      time.Time
 	rate    float64
@@ -58,7 +62,7 @@
 		headroom: 1,
 	}
 	for _, a := range accounts {
-		t.accounts[a.Name] = &accountTally{tokens: float64(a.Burst), burst: float64(a.Burst), rate: a.Rate, at: start}
+		t.accounts[a.Name] = &accountTally{latency: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits), tokens: float64(a.Burst), burst: float64(a.Burst), rate: a.Rate, at: start}
 	}
 	return t
 }
@@ -85,15 +89,20 @@
 	switch o {
 	case outcomeServed:
 		_ = t.latency.RecordValue(min(latency.Microseconds(), highestLatency)) // in range
+		_ = a.latency.RecordValue(min(latency.Microseconds(), highestLatency)) // in range
 		if latency <= deadline {
 			a.served++
+		} else {
+			a.late++
 		}
 	case outcomeRateRefused:
 		a.limited++
 	case outcomeCut:
 		t.cut++
+		a.cut++
 	default:
 		t.refused++
+		a.refused++
 	}
 }
 
