Hand shares over between leaders, and move domains' shares in steps

Cause: a new leader waited the whole term for shares that its predecessor knew to be given back; domains whose demand was published late lost their share at once. Change: a leaving leader writes which processes still hold shares; Leave waits until lent tokens are settled; a reduction because of demand takes at most 30% of a share in 10 s; a new leader goes on from the published demand.

--- a/internal/allotment/division.go
+++ b/internal/allotment/division.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// idleFraction is the fraction of a whole that is divided without regard to demand.
-	idleFraction = 0.1
+	// hostIdle is the part of a whole that is divided among hosts without regard to
+	// demand.
+	hostIdle = 0.1
 	// minHostBurst is the smallest burst worth a bucket of its own, in requests.
 	minHostBurst = 4.0
 	// keepFactor is how much another holder's demand must exceed the present one's
@@ -23,12 +24,12 @@
 
 // divideRate splits an account's rate and burst by demand. A holder whose burst
 // would be below minBurst gets nothing; if all would be, one holder gets all.
-func divideRate(whole Share, claims []claim, minBurst float64) []Share {
+func divideRate(whole Share, claims []claim, idle, minBurst float64) []Share {
 	out := make([]Share, len(claims))
 	if len(claims) == 0 || whole.Rate <= 0 {
 		return out
 	}
-	weights := demandWeights(claims)
+	weights := demandWeights(claims, idle)
 	chosen := byWeight(weights)
 	for len(chosen) > 1 && !splits(whole.Burst, weights, chosen, minBurst) {
 		chosen = chosen[:len(chosen)-1]
@@ -45,8 +46,8 @@
 	return out
 }
 
-// demandWeights gives each claim its part of the demand plus an equal idle part.
-func demandWeights(claims []claim) []float64 {
+// demandWeights gives each claim its part of the demand plus an equal part of idle.
+func demandWeights(claims []claim, idle float64) []float64 {
 	total := 0.0
 	for _, c := range claims {
 		total += c.demand
@@ -56,7 +57,7 @@
 	for i, c := range claims {
 		weights[i] = equal
 		if total > 0 {
-			weights[i] = (1-idleFraction)*c.demand/total + idleFraction*equal
+			weights[i] = (1-idle)*c.demand/total + idle*equal
 		}
 	}
 	return weights
@@ -108,7 +109,7 @@
 	if len(claims) == 0 || whole.Slots <= 0 {
 		return out
 	}
-	weights := demandWeights(claims)
+	weights := demandWeights(claims, hostIdle)
 	slots := apportion(whole.Slots, weights, claims)
 	for i, n := range slots {
 		out[i] = Share{Slots: n, Connections: whole.Connections * n / whole.Slots}
--- a/internal/allotment/domain.go
+++ b/internal/allotment/domain.go
@@ -40,8 +40,9 @@
 	epoch    uint64
 	terms    Terms
 	start    time.Time
-	fresh    bool   // no leader gave out anything before
-	sequence uint64 // newest grant to any holder; a holder that returns sees no sequence twice
+	known    bool                   // only former may hold shares that this leader did not give out
+	former   map[holderKey]struct{} // processes that have not reported yet
+	sequence uint64                 // newest grant to any holder; a holder that returns sees no sequence twice
 	holders  map[holderKey]*holder
 	wholes   map[Resource]Share
 	assured  map[Resource]Share    // part of the whole that has no end
@@ -70,20 +71,33 @@
 // Epoch returns the epoch of the leadership.
 func (d *DomainAllotment) Epoch() uint64 { return d.epoch }
 
-// SetFresh says that no process held a share when this leadership began, so that
-// all may be given out at once.
-func (d *DomainAllotment) SetFresh() { d.fresh = true }
+// SetFormer says which processes held shares when this leadership began. Once all
+// of them have reported, or the longest term has passed, all may be given out.
+func (d *DomainAllotment) SetFormer(holders []HolderProcess) {
+	if d.known {
+		return
+	}
+	d.known = true
+	d.former = map[holderKey]struct{}{}
+	for _, p := range holders {
+		key := holderKey{id: p.Host, incarnation: p.Incarnation}
+		if d.holders[key] == nil {
+			d.former[key] = struct{}{}
+		}
+	}
+}
 
 // SetHold raises the time that a silent holder's slots stay in use.
 func (d *DomainAllotment) SetHold(hold time.Duration) { d.terms.Hold = max(d.terms.Hold, hold) }
 
 // Open reports whether all shares of former leaders of r are reported or over.
 func (d *DomainAllotment) Open(now time.Time, r Resource) bool {
-	if d.fresh || d.rules.openWithoutWait {
+	if d.rules.openWithoutWait {
 		return true
 	}
 	_, fenced := d.fenced[r]
-	return fenced && now.Sub(d.start) >= d.terms.silence(r)
+	reported := d.known && len(d.former) == 0
+	return fenced && (reported || now.Sub(d.start) >= d.terms.silence(r))
 }
 
 // Fence records that no former leader can change the domain's share of r any more.
@@ -206,6 +220,7 @@
 	h := newHolder(d.sequence)
 	h.seen = now
 	d.holders[key] = h
+	defer delete(d.former, key)
 	for _, report := range request.Reports {
 		if report.Share.IsZero() || d.Open(now, report.Resource) && !d.rules.openWithoutWait {
 			continue
@@ -329,7 +344,7 @@
 	if _, upstream := r.Upstream(); upstream {
 		return divideSlots(d.wholes[r], claims)
 	}
-	return divideRate(d.wholes[r], claims, minHostBurst)
+	return divideRate(d.wholes[r], claims, hostIdle, minHostBurst)
 }
 
 // shrink reduces the shares that are above their target.
--- a/internal/allotment/domain_model_test.go
+++ b/internal/allotment/domain_model_test.go
@@ -131,7 +131,7 @@
 	terms := Terms{Term: modelTerm, Margin: modelMargin, Hold: modelHold}
 	l.allotment = NewDomainAllotment(l.local(m.now), uint64(len(m.leaders)+1), terms)
 	if len(m.leaders) == 0 {
-		l.allotment.SetFresh()
+		l.allotment.SetFormer(nil)
 	}
 	l.allotment.rules = m.rules
 	for r, whole := range m.inForce {
@@ -334,7 +334,7 @@
 	case 19:
 		m.elect(time.Duration(take(64)) * time.Second)
 	case 20:
-		m.rare(take(6), p, take(64))
+		m.rare(take(7), p, take(64))
 	case 21, 22, 23:
 		m.now = m.now.Add(time.Duration(take(200)) * time.Millisecond)
 	}
@@ -364,6 +364,22 @@
 		m.leader().leaseEnd = m.leader().leaseEnd.Add(time.Duration(arg%2) * modelLease)
 	case 5:
 		m.change(p, p.shares.Leave())
+	case 6:
+		m.handOver()
+	}
+}
+
+// handOver ends the leadership and begins the next with the known holders.
+func (m *model) handOver() {
+	l := m.leader()
+	if !m.now.Before(l.leaseEnd) {
+		return
+	}
+	holders, ok := l.allotment.HandOver(l.local(m.now))
+	l.leaseEnd = m.now
+	m.elect(l.skew + time.Hour)
+	if ok {
+		m.leader().allotment.SetFormer(holders)
 	}
 }
 
--- a/internal/allotment/domainquery.go
+++ b/internal/allotment/domainquery.go
@@ -8,14 +8,27 @@
 	"peridotrail/internal/host"
 )
 
-// Empty reports whether no process may be using any share.
-func (d *DomainAllotment) Empty(now time.Time) bool {
+// HandOver returns the processes that may be using shares, and false if there may
+// be others that are not known. The caller gives out nothing afterwards.
+func (d *DomainAllotment) HandOver(now time.Time) ([]HolderProcess, bool) {
 	for _, r := range d.Resources() {
-		if !d.Open(now, r) || !d.live(now, r).IsZero() {
-			return false
+		if !d.Open(now, r) {
+			return nil, false
 		}
 	}
-	return true
+	var holders []HolderProcess
+	for key, h := range d.holders {
+		for r, e := range h.entries {
+			if !e.live().IsZero() && !d.over(now, h, r) {
+				holders = append(holders, HolderProcess{Host: key.id, Incarnation: key.incarnation})
+				break
+			}
+		}
+	}
+	slices.SortFunc(holders, func(a, b HolderProcess) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return holders, true
 }
 
 // candidate is a possible lender of an account.
--- a/internal/allotment/domainrecord.go
+++ b/internal/allotment/domainrecord.go
@@ -27,12 +27,20 @@
 	Operation  string `cbor:"4,keyasint"` // names the write
 	// Peers are the domains whose leaders may end the extra shares.
 	Peers []string `cbor:"5,keyasint,omitempty"`
-	// Returned says that no process of the domain holds a share.
-	Returned bool `cbor:"6,keyasint,omitempty"`
+	// HandedOver says that the leader of this epoch gives out nothing more, and that
+	// only Holders may hold shares of the domain.
+	HandedOver bool            `cbor:"6,keyasint,omitempty"`
+	Holders    []HolderProcess `cbor:"8,keyasint,omitempty"`
 	// Leader is the host that leads the domain.
 	Leader host.ID `cbor:"7,keyasint,omitempty"`
 }
 
+// HolderProcess names one process that holds shares.
+type HolderProcess struct {
+	Host        host.ID          `cbor:"1,keyasint"`
+	Incarnation host.Incarnation `cbor:"2,keyasint"`
+}
+
 // DecodeDomainRecord reads a store value.
 func DecodeDomainRecord(key string, value []byte) (DomainRecord, error) {
 	var r DomainRecord
@@ -63,14 +71,16 @@
 	until    time.Time
 	pending  *pendingRecord
 	stale    bool // a newer leader renewed the record
-	fresh    bool // this leader's first write found that no share was given out
+	known    bool // this leader's first write found which processes hold shares
+	holders  []HolderProcess
 }
 
 type pendingRecord struct {
 	record DomainRecord
 	sent   time.Time
 	write  platform.Write
-	fresh  bool // the record that it replaces says that no share is given out
+	known  bool // the record that it replaces says which processes hold shares
+	former []HolderProcess
 	lost   bool // an answer was lost; a later refusal does not settle the write
 }
 
@@ -82,10 +92,10 @@
 // Loaded reports whether the record has been read.
 func (t *DomainTerm) Loaded() bool { return t.loaded }
 
-// Fresh reports whether this leader took the record over in a state that says
-// that no process of the domain holds a share: there never was a record, or a
-// former leader wrote that all shares came back.
-func (t *DomainTerm) Fresh() bool { return t.fresh }
+// Holders returns the processes that held shares when this leader took the record
+// over. It returns false if that is not known; a domain that never had a record
+// has no holders.
+func (t *DomainTerm) Holders() ([]HolderProcess, bool) { return t.holders, t.known }
 
 // Owned reports whether the record names this leader's epoch.
 func (t *DomainTerm) Owned() bool { return t.loaded && t.revision != 0 && t.record.Epoch == t.epoch }
@@ -144,38 +154,47 @@
 	t.record, t.revision = record, entry.Revision
 	if t.pending != nil && t.pending.record.Operation == record.Operation && !t.stale {
 		t.extend(t.pending.sent.Add(t.term))
-		t.fresh = t.fresh || t.pending.fresh
+		if t.pending.known {
+			t.known, t.holders = true, t.pending.former
+		}
 	}
 	t.pending = nil
 	return nil
 }
 
-// Renew returns the next write of the record. Returned says that no process of
-// the domain holds a share any more.
-func (t *DomainTerm) Renew(now time.Time, leader host.ID, peers []string, operation string, returned bool) (platform.Write, bool) {
+// Renew returns the next write of the record. Leader is the host that leads.
+func (t *DomainTerm) Renew(now time.Time, leader host.ID, peers []string, operation string) (platform.Write, bool) {
+	return t.write(now, DomainRecord{Operation: operation, Peers: slices.Clone(peers), Leader: leader})
+}
+
+// HandOver returns the last write of a leader that gives out nothing more.
+func (t *DomainTerm) HandOver(now time.Time, operation string, holders []HolderProcess) (platform.Write, bool) {
+	return t.write(now, DomainRecord{Operation: operation, Peers: t.Peers(), HandedOver: true, Holders: holders})
+}
+
+func (t *DomainTerm) write(now time.Time, next DomainRecord) (platform.Write, bool) {
 	if !t.loaded || t.stale {
 		return platform.Write{}, false
 	}
 	if t.pending != nil {
 		return t.pending.write, true
 	}
-	next := DomainRecord{
-		Epoch:      t.epoch,
-		Sequence:   t.record.Sequence + 1,
-		Generation: t.record.Generation,
-		Operation:  operation,
-		Peers:      slices.Clone(peers),
-		Returned:   returned,
-		Leader:     leader,
-	}
+	next.Epoch = t.epoch
+	next.Sequence = t.record.Sequence + 1
+	next.Generation = t.record.Generation
 	value, err := next.Encode()
 	if err != nil {
 		return platform.Write{}, false
 	}
-	write := platform.Write{Key: DomainKey(t.domain), Value: value, Expected: t.revision}
-	fresh := t.revision == 0 || t.record.Returned && t.record.Epoch < t.epoch
-	t.pending = &pendingRecord{record: next, sent: now, write: write, fresh: fresh}
-	return write, true
+	handedOver := t.record.HandedOver && t.record.Epoch < t.epoch
+	t.pending = &pendingRecord{
+		record: next,
+		sent:   now,
+		write:  platform.Write{Key: DomainKey(t.domain), Value: value, Expected: t.revision},
+		known:  t.revision == 0 || handedOver,
+		former: t.record.Holders,
+	}
+	return t.pending.write, true
 }
 
 // Finish takes the outcome of a write that Renew returned.
--- a/internal/allotment/fleet_model_test.go
+++ b/internal/allotment/fleet_model_test.go
@@ -186,7 +186,7 @@
 			peers = append(peers, d.name)
 		}
 	}
-	if w, ok := l.term.Renew(m.local(l), l.domain.host.id.ID, peers, m.operation(), false); ok {
+	if w, ok := l.term.Renew(m.local(l), l.domain.host.id.ID, peers, m.operation()); ok {
 		m.write(l, w, fate, func(e platform.Entry, err error) { _ = l.term.Finish(e, err) })
 	}
 }
@@ -200,6 +200,7 @@
 		Accounts:      []Account{{Name: "large", Whole: m.wholes[l.config]}},
 		Generations:   l.observer.Generations(),
 		FloorFraction: 0.5,
+		Rebalance:     true,
 		ExtraValid:    m.extraValid(l),
 		Demand:        func(string) float64 { return l.domain.host.demand },
 		InEffect:      func(_ string, limit Share) bool { return l.hosts.InEffect(now, modelLarge, limit) },
@@ -239,8 +240,8 @@
 	whole, assured := l.view.Usable("large", l.term.Generation(), m.extraValid(l))
 	l.hosts.SetWhole(modelLarge, whole, assured)
 	l.hosts.SetEnd(l.term.Until())
-	if l.term.Fresh() {
-		l.hosts.SetFresh()
+	if former, known := l.term.Holders(); known {
+		l.hosts.SetFormer(former)
 	}
 	if l.view.Fenced(l.epoch) {
 		l.hosts.Fence(modelLarge)
--- a/internal/allotment/fleetplan.go
+++ b/internal/allotment/fleetplan.go
@@ -13,6 +13,8 @@
 	demandFraction = 0.25 // of the published demand
 	demandMinimum  = 0.02 // of the account's rate
 	minDomainBurst = 4.0  // smallest burst worth a share of a domain, in requests
+	domainIdle     = 0.25 // part of the rate that is divided among domains without regard to demand
+	rebalanceStep  = 0.3  // largest part of a share given up at once because of demand
 	excessFraction = 0.02 // of a share, given up beyond the excess
 )
 
@@ -34,6 +36,7 @@
 	Generations   map[string]uint64
 	FloorFraction float64 // part of a domain's share that is its floor, from 0 to 1
 	ExtraValid    bool    // the domain's record is renewed
+	Rebalance     bool    // shares may shrink because of demand
 	// Demand returns the requests per second wanted in the domain.
 	Demand func(account string) float64
 	// InEffect reports whether the hosts of the domain surely use no more than limit.
@@ -100,7 +103,7 @@
 // too small for that belongs to fewer domains.
 func (p *planner) create(account Account) FleetAccount {
 	a := FleetAccount{Account: account.Name, Revision: p.in.Revision, Target: account.Whole, InForce: account.Whole}
-	parts := divideRate(account.Whole, make([]claim, len(p.in.Domains)), minDomainBurst)
+	parts := divideRate(account.Whole, make([]claim, len(p.in.Domains)), domainIdle, minDomainBurst)
 	for i, domain := range p.in.Domains {
 		a.Domains = append(a.Domains, DomainShare{Domain: domain, Floor: parts[i]})
 	}
@@ -180,7 +183,7 @@
 		}
 		claims = append(claims, claim{demand: demand, current: a.Domain(domain).Total()})
 	}
-	return divideRate(a.Target, claims, minDomainBurst)[position]
+	return divideRate(a.Target, claims, domainIdle, minDomainBurst)[position]
 }
 
 // shrink lowers the own share to what is wanted, in two steps: the plan's cap
@@ -201,10 +204,14 @@
 	if !live.Within(a.Target) {
 		return wanted.Min(p.proportional(a, held, live))
 	}
-	if held.near(wanted, held, resizeFraction) || held.near(wanted, a.Target, resizeMinimum) {
+	small := held.near(wanted, held, resizeFraction) || held.near(wanted, a.Target, resizeMinimum)
+	if small || !p.in.Rebalance && !wanted.IsZero() {
 		return held
 	}
-	return wanted.Max(Share{}).Min(held)
+	if wanted.IsZero() {
+		return wanted
+	}
+	return wanted.Max(held.Scale(1 - rebalanceStep)).Min(held)
 }
 
 // proportional returns the held share less somewhat more than the domain's part of
--- a/internal/allotment/holder/holder.go
+++ b/internal/allotment/holder/holder.go
@@ -25,6 +25,8 @@
 const (
 	defaultPeriod = 500 * time.Millisecond
 	callTimeout   = 400 * time.Millisecond
+	leaveTimeout  = 2 * time.Second
+	leaveCheck    = 100 * time.Millisecond
 	wantedKeep    = 0.8 // of the former demand for slots that is kept at each renewal
 )
 
@@ -284,14 +286,40 @@
 	h.capacity.Store(&next)
 }
 
-// Leave gives all shares back, for a graceful shutdown. Requests that run keep
-// their slots until they end; Run goes on to report them. Tokens that are lent
-// stay counted until they are settled.
+// Leave gives all shares back, for a graceful shutdown. It returns when the leader
+// knows, and no tokens are lent any more, or after leaveTimeout. Requests that run
+// keep their slots until they end; Run goes on to report them.
 func (h *Holder) Leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
 	h.mu.Lock()
 	now := h.options.Now()
 	h.change(now, h.shares.Leave())
 	h.extend(now)
 	h.mu.Unlock()
-	h.renew(ctx)
+	for {
+		lent := h.lends()
+		h.renew(ctx)
+		if !lent {
+			return
+		}
+		timer := time.NewTimer(leaveCheck)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// lends reports whether other hosts may spend tokens of this one.
+func (h *Holder) lends() bool {
+	now := h.options.Now()
+	for _, name := range h.options.Accounts.Accounts() {
+		if !h.options.Accounts.Usage(now, name).Held.IsZero() {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/allotment/leader/keeper.go
+++ b/internal/allotment/leader/keeper.go
@@ -126,7 +126,7 @@
 		l.mu.Unlock()
 		return true
 	}
-	write, ok := k.reign.term.Renew(now, l.options.Self.ID, k.reign.peers(snapshot), l.operation(), false)
+	write, ok := k.reign.term.Renew(now, l.options.Self.ID, k.reign.peers(snapshot), l.operation())
 	l.mu.Unlock()
 	if !ok {
 		return true
--- a/internal/allotment/leader/leader.go
+++ b/internal/allotment/leader/leader.go
@@ -222,18 +222,10 @@
 	return l.reign.lenders(l.options.Now(), account, borrower)
 }
 
-// Leave tells the store that no host of the domain holds a share, if that is so,
-// so that the next leader need not wait. It answers no further renewal.
+// Leave tells the store which hosts of the domain hold shares, so that the next
+// leader need not wait for others. This leader answers no further renewal.
 func (l *Leader) Leave(ctx context.Context) {
-	l.mu.Lock()
-	r := l.reign
-	if r == nil || !r.hosts.Empty(l.options.Now()) || !r.term.Owned() {
-		l.mu.Unlock()
-		return
-	}
-	r.closed = true
-	write, ok := r.term.Renew(l.options.Now(), l.options.Self.ID, nil, l.operation(), true)
-	l.mu.Unlock()
+	write, ok := l.handOver()
 	if !ok {
 		return
 	}
@@ -244,6 +236,22 @@
 	}
 }
 
+func (l *Leader) handOver() (platform.Write, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.reign
+	if r == nil || !r.ready() {
+		return platform.Write{}, false
+	}
+	now := l.options.Now()
+	r.closed = true
+	holders, ok := r.hosts.HandOver(now)
+	if !ok {
+		return platform.Write{}, false
+	}
+	return r.term.HandOver(now, l.operation(), holders)
+}
+
 // operation names the next write to the store. The caller holds mu.
 func (l *Leader) operation() string {
 	l.count++
--- a/internal/allotment/leader/reign.go
+++ b/internal/allotment/leader/reign.go
@@ -26,6 +26,7 @@
 	accounts map[string]struct{} // with a share in hosts
 	demands  map[string]float64  // of the accounts, averaged over demandHalfLife
 	averaged time.Time
+	balanced []time.Time // by document: when shares last shrank because of demand
 	// upstreams of the last configuration
 	upstreams map[string]struct{}
 }
@@ -43,6 +44,7 @@
 		accounts:  map[string]struct{}{},
 		demands:   map[string]float64{},
 		averaged:  now,
+		balanced:  make([]time.Time, allotment.DocumentCount),
 		upstreams: map[string]struct{}{},
 	}
 	for i := range allotment.DocumentCount {
@@ -81,8 +83,8 @@
 	if snapshot == nil || !r.ready() || r.closed {
 		return
 	}
-	if r.term.Fresh() {
-		r.hosts.SetFresh()
+	if former, known := r.term.Holders(); known {
+		r.hosts.SetFormer(former)
 	}
 	r.hosts.SetEnd(r.term.Until())
 	r.setAccounts(now, snapshot)
@@ -200,11 +202,31 @@
 	keep := math.Exp2(-now.Sub(r.averaged).Seconds() / demandHalfLife.Seconds())
 	r.averaged = now
 	for _, a := range snapshot.ClientAccounts {
+		former, known := r.demands[a.Name]
+		if !known {
+			former = r.published(a.Name)
+		}
 		present := r.hosts.Demand(now, allotment.AccountResource(a.Name))
-		r.demands[a.Name] = r.demands[a.Name]*keep + present*(1-keep)
+		r.demands[a.Name] = former*keep + present*(1-keep)
 	}
 }
 
+// published returns the demand that a former leader of the domain wrote.
+func (r *reign) published(account string) float64 {
+	a := r.views[allotment.DocumentOf(account)].Document().Account(account)
+	if a == nil {
+		return 0
+	}
+	return a.Domain(r.options.Self.FailureDomain).Demand
+}
+
+// rebalanceEvery is the time between reductions of a document's shares because of
+// demand.
+const rebalanceEvery = 10 * time.Second
+
+// rebalanceFor is how long a reduction may take to come into effect at the hosts.
+const rebalanceFor = 3 * time.Second
+
 // plan returns the writes of documents that are due.
 func (r *reign) plan(now time.Time, snapshot *configuration.Snapshot, operation func() string) map[int]platform.Write {
 	r.average(now, snapshot)
@@ -217,9 +239,13 @@
 		if len(in.Accounts) == 0 && len(view.Document().Accounts) == 0 {
 			continue
 		}
+		in.Rebalance = now.Sub(r.balanced[i]) >= rebalanceEvery
 		if write, ok := view.Plan(in, operation()); ok {
 			writes[i] = write
 		}
+		if in.Rebalance && now.Sub(r.balanced[i]) >= rebalanceEvery+rebalanceFor {
+			r.balanced[i] = now
+		}
 	}
 	return writes
 }
