Keep shares of slots even and let room grants follow demand

Cause: shares that followed demand kept 2 to 4 slots of a service moving, in nobody's share; requests for room to other regions were made in excess, and each relay there idles a slot for a round trip. Change: all hosts claim the same share; slots asked of other regions count until they are answered; another region needs a wait of three round trips; unused room is returned when a relay ends. Dispatcher.Run waits for its requests: a test had found them running after it. Conclusion: even shares; the allotment of slots needs no demand from dispatch.

--- a/internal/upstream/asker.go
+++ b/internal/upstream/asker.go
@@ -28,12 +28,12 @@
 // asker is the aggregate that decides which peers to ask for room for one
 // service. Its owner holds the lock of the pool.
 type asker struct {
-	pending map[host.ID]int       // distance of the peers that have not answered
+	pending map[host.ID]ask       // by the peer that has not answered
 	pause   map[host.ID]time.Time // no request before this time
 }
 
 func newAsker() *asker {
-	return &asker{pending: map[host.ID]int{}, pause: map[host.ID]time.Time{}}
+	return &asker{pending: map[host.ID]ask{}, pause: map[host.ID]time.Time{}}
 }
 
 // plan returns the requests to send now: renewals of grants that are needed,
@@ -41,7 +41,12 @@
 func (a *asker) plan(p *pool, found []candidate, now time.Time) []ask {
 	wanted := p.wanted()
 	asks := a.keep(p, &wanted, now)
+	far := false
 	for _, c := range found {
+		if c.distance >= distanceOtherRegion && !far {
+			far = true
+			wanted -= a.pendingFar()
+		}
 		if wanted <= 0 {
 			break
 		}
@@ -89,8 +94,22 @@
 }
 
 func (a *asker) send(peer host.Identity, distance int, request room.Request) ask {
-	a.pending[peer.ID] = distance
-	return ask{peer: peer, distance: distance, request: request}
+	sent := ask{peer: peer, distance: distance, request: request}
+	a.pending[peer.ID] = sent
+	return sent
+}
+
+// pendingFar returns the slots that peers of other regions were asked for. Peers
+// of the own region are asked in excess, for what they grant too much is soon
+// returned; over a long way it would be lost for longer.
+func (a *asker) pendingFar() int {
+	total := 0
+	for _, sent := range a.pending {
+		if sent.distance >= distanceOtherRegion && sent.request.Renew == 0 {
+			total += sent.request.Slots
+		}
+	}
+	return total
 }
 
 // mayAsk reports whether a peer can be asked now.
@@ -99,8 +118,8 @@
 		return false
 	}
 	near, far := 0, 0
-	for _, distance := range a.pending {
-		if distance < distanceOtherRegion {
+	for _, sent := range a.pending {
+		if sent.distance < distanceOtherRegion {
 			near++
 		} else {
 			far++
@@ -128,7 +147,8 @@
 	if c.distance >= distanceOtherRegion && !p.egress.open(now) {
 		return false
 	}
-	return p.queue.len() > 0 && p.localWait(float64(p.queue.len()), now) >= c.defaultRoundTrip()
+	wait := p.localWait(float64(p.queue.len()), now)
+	return p.queue.len() > 0 && wait >= roundTripFactor(c.distance)*c.defaultRoundTrip()
 }
 
 // wanted returns how many concurrent relays the pool could use, with some for
--- a/internal/upstream/dispatcher.go
+++ b/internal/upstream/dispatcher.go
@@ -38,6 +38,7 @@
 	wake    chan struct{}
 	leaving atomic.Bool
 	peers   peerCache
+	asking  sync.WaitGroup // requests for room under way
 }
 
 // plan is the immutable view of one configuration.
@@ -90,9 +91,12 @@
 type Load struct {
 	Upstream string
 	InUse    int
-	Wanted   int  // slots that this host could use now
-	Queued   int  // requests of the service that wait, divided among its upstreams
-	Serving  bool // neither ejected nor drained
+	// Wanted is the claim to a share. All hosts claim alike, so that shares stay
+	// even and room grants, which move slots within milliseconds, follow demand: a
+	// slot whose share moves is in nobody's share meanwhile.
+	Wanted  int
+	Queued  int  // requests of the service that wait, divided among its upstreams
+	Serving bool // neither ejected nor drained
 }
 
 // Loads returns the use of every upstream of the failure domain.
@@ -107,7 +111,7 @@
 			loads = append(loads, Load{
 				Upstream: w.upstream.Name,
 				InUse:    w.inUse,
-				Wanted:   w.inUse + share,
+				Wanted:   w.upstream.Slots,
 				Queued:   share,
 				Serving:  w.health.state != healthEjected && !w.drained(now),
 			})
--- a/internal/upstream/duty.go
+++ b/internal/upstream/duty.go
@@ -22,8 +22,10 @@
 	registry.Handle(KindReports, d.receiveReports)
 }
 
-// Run asks peers for room and sweeps the queues until ctx ends.
+// Run asks peers for room and sweeps the queues until ctx ends and all requests
+// that it sent have ended.
 func (d *Dispatcher) Run(ctx context.Context) error {
+	defer d.asking.Wait()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -67,7 +69,7 @@
 		}
 		found := d.candidates(current.source, peers, service, now)
 		for _, a := range l.planAsks(found, now) {
-			go d.ask(ctx, l, a)
+			d.asking.Go(func() { d.ask(ctx, l, a) })
 		}
 	}
 }
@@ -86,15 +88,16 @@
 	}
 	d.stats.roomSlots.Inc(int64(reply.Slots))
 	l.answered(a, reply, err != nil, asked, d.now())
-	if l.waiting() {
+	if l.unbalanced(d.now()) {
 		d.askSoon()
 	}
 }
 
-func (l *lane) waiting() bool {
+// unbalanced reports whether work waits here or room is unused.
+func (l *lane) unbalanced(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.pool.queue.len() > 0
+	return l.pool.queue.len() > 0 || l.pool.holder.Free(now) > 0
 }
 
 func (d *Dispatcher) candidates(c *configuration.Configuration, peers []Peer, service string, now time.Time) []candidate {
--- a/internal/upstream/lane.go
+++ b/internal/upstream/lane.go
@@ -128,8 +128,12 @@
 	l.mu.Lock()
 	l.pool.finish(place, outcome, now)
 	assigned := l.pump(now)
+	unused := place.holding != nil && l.pool.queue.len() == 0
 	l.mu.Unlock()
 	l.hand(assigned, now)
+	if unused {
+		l.dispatcher.askSoon()
+	}
 }
 
 // sweep refuses late waiters and uses capacity that appeared without an event.
--- a/internal/upstream/peers.go
+++ b/internal/upstream/peers.go
@@ -58,6 +58,19 @@
 	}
 }
 
+// roundTripFactor is how many round trips to a peer the wait here must exceed.
+// While a relay travels, the slot set aside for it is idle, and a long way costs
+// a good part of a service time.
+func roundTripFactor(distance int) time.Duration {
+	if distance >= distanceOtherRegion {
+		return farRoundTrips
+	}
+	return 1
+}
+
+// farRoundTrips is the factor for peers of other regions.
+const farRoundTrips = 3
+
 // distanceTo returns the distance between two hosts.
 func distanceTo(self, other host.Identity) int {
 	switch {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -179,7 +179,7 @@
 
 // accepts reports whether work should be relayed under h.
 func (p *pool) accepts(h *room.Holding, work *Work, wait time.Duration, now time.Time) bool {
-	if excluded(work, string(h.Peer.ID)) || h.RoundTrip > wait {
+	if excluded(work, string(h.Peer.ID)) || roundTripFactor(h.Distance)*h.RoundTrip > wait {
 		return false
 	}
 	if h.Distance >= distanceOtherRegion && !p.egress.open(now) {
--- a/internal/upstream/relay_test.go
+++ b/internal/upstream/relay_test.go
@@ -105,7 +105,8 @@
 		b := network.join("b", "detroit", "michigan", current, fixedShare{"u3": 2})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		go a.dispatcher.Run(ctx)
+		var duties sync.WaitGroup
+		duties.Go(func() { _ = a.dispatcher.Run(ctx) })
 		work := Work{Service: "booking-desk"}
 		use(t, a.dispatcher, work, 200*time.Millisecond)
 		busy, err := a.dispatcher.Acquire(t.Context(), work)
@@ -130,7 +131,7 @@
 		permit.Done(Outcome{Result: ResultOK})
 		busy.Done(Outcome{Result: ResultOK})
 		cancel()
-		synctest.Wait()
+		duties.Wait()
 	})
 }
 
@@ -142,7 +143,8 @@
 		network.join("b", "detroit", "michigan", current, fixedShare{"u3": 2})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		go a.dispatcher.Run(ctx)
+		var duties sync.WaitGroup
+		duties.Go(func() { _ = a.dispatcher.Run(ctx) })
 		work := Work{Service: "booking-desk"}
 		use(t, a.dispatcher, work, 100*time.Millisecond)
 		var running sync.WaitGroup
@@ -155,7 +157,7 @@
 		require.Positive(t, network.carried)
 		require.Less(t, network.carried, 20, "a peer that does not answer is asked rarely")
 		cancel()
-		synctest.Wait()
+		duties.Wait()
 	})
 }
 
