--- a/internal/allotment/domain.go
+++ b/internal/allotment/domain.go
@@ -25,6 +25,10 @@
 	return t.Term + t.Margin
 }
 
+// sweepEvery is the time between divisions of all resources. Shares of silent
+// holders are noticed to be over at these.
+const sweepEvery = 3 * time.Second
+
 // resize hysteresis of a host's share.
 const (
 	resizeFraction = 0.2  // of the present share
@@ -40,13 +44,16 @@
 	epoch    uint64
 	terms    Terms
 	start    time.Time
-	fresh    bool   // no leader gave out anything before
-	sequence uint64 // newest grant to any holder; a holder that returns sees no sequence twice
+	known    bool                   // only former may hold shares that this leader did not give out
+	former   map[holderKey]struct{} // processes that have not reported yet
+	sequence uint64                 // newest grant to any holder; a holder that returns sees no sequence twice
 	holders  map[holderKey]*holder
 	wholes   map[Resource]Share
 	assured  map[Resource]Share    // part of the whole that has no end
 	adopted  map[Resource]Share    // sum of the shares that former leaders granted
 	fenced   map[Resource]struct{} // former leaders cannot change the domain's share any more
+	dirty    map[Resource]struct{} // to be divided at the next Divide
+	swept    time.Time             // last division of all resources
 	end      time.Time             // end of the right to what exceeds the assured shares
 	beyond   bool                  // live shares may exceed the assured ones
 	rules    rules
@@ -64,36 +71,58 @@
 		assured: map[Resource]Share{},
 		adopted: map[Resource]Share{},
 		fenced:  map[Resource]struct{}{},
+		dirty:   map[Resource]struct{}{},
 	}
 }
 
 // Epoch returns the epoch of the leadership.
 func (d *DomainAllotment) Epoch() uint64 { return d.epoch }
 
-// SetFresh says that no process held a share when this leadership began, so that
-// all may be given out at once.
-func (d *DomainAllotment) SetFresh() { d.fresh = true }
+// SetFormer says which processes held shares when this leadership began. Once all
+// of them have reported, or the longest term has passed, all may be given out.
+func (d *DomainAllotment) SetFormer(holders []HolderProcess) {
+	if d.known {
+		return
+	}
+	d.known = true
+	d.former = map[holderKey]struct{}{}
+	for _, p := range holders {
+		key := holderKey{id: p.Host, incarnation: p.Incarnation}
+		if d.holders[key] == nil {
+			d.former[key] = struct{}{}
+		}
+	}
+}
 
 // SetHold raises the time that a silent holder's slots stay in use.
 func (d *DomainAllotment) SetHold(hold time.Duration) { d.terms.Hold = max(d.terms.Hold, hold) }
 
 // Open reports whether all shares of former leaders of r are reported or over.
 func (d *DomainAllotment) Open(now time.Time, r Resource) bool {
-	if d.fresh || d.rules.openWithoutWait {
+	if d.rules.openWithoutWait {
 		return true
 	}
 	_, fenced := d.fenced[r]
-	return fenced && now.Sub(d.start) >= d.terms.silence(r)
+	reported := d.known && len(d.former) == 0
+	return fenced && (reported || now.Sub(d.start) >= d.terms.silence(r))
 }
 
 // Fence records that no former leader can change the domain's share of r any more.
 // Until then nothing beyond the reported shares is given out.
-func (d *DomainAllotment) Fence(r Resource) { d.fenced[r] = struct{}{} }
+func (d *DomainAllotment) Fence(r Resource) {
+	if _, fenced := d.fenced[r]; !fenced {
+		d.fenced[r] = struct{}{}
+		d.dirty[r] = struct{}{}
+	}
+}
 
 // SetWhole changes what the domain may use of a resource. The part above assured
 // may be used until the end given to SetEnd. A smaller whole takes effect at the
 // next Divide, and is in effect once InEffect says so.
 func (d *DomainAllotment) SetWhole(r Resource, whole, assured Share) {
+	if whole != d.wholes[r] || assured != d.assured[r] {
+		d.dirty[r] = struct{}{}
+	}
 	if whole.IsZero() {
 		delete(d.wholes, r)
 	} else {
@@ -181,7 +210,7 @@
 	d.lapse(now, h)
 	h.seen = now
 	if request.Sequence > h.request {
-		h.process(request)
+		h.process(request, d.dirty)
 	}
 	answer.Sequence = h.sequence
 	answer.Term = d.term(now)
@@ -206,6 +235,8 @@
 	h := newHolder(d.sequence)
 	h.seen = now
 	d.holders[key] = h
+	d.swept = time.Time{}
+	defer delete(d.former, key)
 	for _, report := range request.Reports {
 		if report.Share.IsZero() || d.Open(now, report.Resource) && !d.rules.openWithoutWait {
 			continue
@@ -223,6 +254,9 @@
 // lapse takes the shares back that ended while the holder was silent. They may
 // have been given to others.
 func (d *DomainAllotment) lapse(now time.Time, h *holder) {
+	if now.Sub(h.seen) < d.terms.Term+d.terms.Margin && !d.rules.reclaimWithoutWait {
+		return
+	}
 	for _, r := range slices.Sorted(maps.Keys(h.entries)) {
 		if d.over(now, h, r) {
 			h.entries[r].held = Share{}
@@ -234,6 +268,7 @@
 // grant gives a holder a new share. Trusted grants count as confirmed.
 func (d *DomainAllotment) grant(h *holder, r Resource, share Share, trusted bool) {
 	d.sequence++
+	d.dirty[r] = struct{}{}
 	h.grant(d.sequence, r, share, trusted)
 }
 
@@ -248,11 +283,18 @@
 
 // Divide adapts the shares to the demand: it first reduces the shares that are
 // too large, then gives out what is free. It forgets holders whose shares are over.
+// It looks at the resources that changed, and at all of them every sweepEvery.
 func (d *DomainAllotment) Divide(now time.Time) {
 	d.forget(now)
 	keys := d.activeHolders(now)
-	d.beyond = false
-	for _, r := range d.Resources() {
+	resources := slices.Sorted(maps.Keys(d.dirty))
+	if now.Sub(d.swept) >= sweepEvery {
+		d.swept = now
+		d.beyond = false
+		resources = d.Resources()
+	}
+	clear(d.dirty)
+	for _, r := range resources {
 		d.divide(now, r, keys)
 		d.beyond = d.beyond || d.exceeds(now, r)
 	}
@@ -329,7 +371,7 @@
 	if _, upstream := r.Upstream(); upstream {
 		return divideSlots(d.wholes[r], claims)
 	}
-	return divideRate(d.wholes[r], claims, minHostBurst)
+	return divideRate(d.wholes[r], claims, hostIdle, minHostBurst)
 }
 
 // shrink reduces the shares that are above their target.
