Accept a request in progress before the replay in the keeper test

Cause: the answer reaches the caller before the keeper has recorded it, so an immediate retry may get 409 request-in-progress (seen once in land.sh). That is true and tells the caller when to come back; the test demanded the replay at once. Change: the test accepts only that refusal until the replay comes, and still demands one run. Tested: go test -count=3 -run Keeper ./test/failure; idempotency -count=3. Conclusion: no promise is loosened: never two runs, never a false answer.

--- a/test/failure/work_test.go
+++ b/test/failure/work_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"peridotrail/internal/configuration"
+	"peridotrail/internal/problem"
 )
 
 func (s *site) runs(id string) int {
@@ -39,8 +41,11 @@
 	key := s.issueKey(0)
 	status, _ := s.send(1, http.MethodPost, "/desk/book", clinicKey, key)
 	require.Equal(t, http.StatusOK, status)
-	status, _ = s.send(2, http.MethodPost, "/desk/book", clinicKey, key)
-	require.Equal(t, http.StatusOK, status, "the stored answer is replayed")
+	s.eventually("the stored answer is replayed", func() bool {
+		status, body := s.send(2, http.MethodPost, "/desk/book", clinicKey, key)
+		require.True(t, status == http.StatusOK || strings.Contains(body, string(problem.TypeInProgress)), "%d %s", status, body)
+		return status == http.StatusOK
+	})
 	require.Equal(t, 1, s.runs(key))
 
 	s.Kill(0)
