--- a/test/failure/fleet_test.go
+++ b/test/failure/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"peridotrail/internal/clientaccount"
 	"peridotrail/internal/configuration"
+	"peridotrail/internal/host"
 	"peridotrail/internal/localfleet"
 	standin "peridotrail/internal/standin/upstream"
 )
@@ -61,9 +62,25 @@
 	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
 	defer cancel()
 	require.NoError(t, fleet.WaitReady(ctx))
+	s.eventually("hosts know each other", s.complete)
 	return s
 }
 
+// complete reports whether each host knows all others as live.
+func (s *site) complete() bool {
+	for _, i := range s.all() {
+		for _, member := range s.Host(i).Status(time.Now()).Members {
+			if member.State != host.StateLive.String() {
+				return false
+			}
+		}
+		if len(s.Host(i).Status(time.Now()).Members) != s.Len() {
+			return false
+		}
+	}
+	return true
+}
+
 func account(name, key string) configuration.ClientAccount {
 	return configuration.ClientAccount{
 		Name: name, Rate: rate, Burst: burst,
@@ -147,13 +164,13 @@
 }
 
 // get sends one request and returns its status; zero if there was no answer.
-func (s *site) get(host int, key string) int {
-	status, _ := s.send(host, http.MethodGet, "/desk/list", key, "")
+func (s *site) get(at int, key string) int {
+	status, _ := s.send(at, http.MethodGet, "/desk/list", key, "")
 	return status
 }
 
-func (s *site) send(host int, method, path, key, idempotencyKey string) (int, string) {
-	h := s.Host(host)
+func (s *site) send(at int, method, path, key, idempotencyKey string) (int, string) {
+	h := s.Host(at)
 	if h == nil {
 		return 0, ""
 	}
