Learn from the store which epoch came before; send keeper messages serially in tests

Change: leadership's epoch key holds the latest two epochs and Status tells Previous and First; own keys go by tenures; the model sends serially.

--- a/internal/daemon/leaders.go
+++ b/internal/daemon/leaders.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"peridotrail/internal/host"
+	"peridotrail/internal/idempotency"
 	"peridotrail/internal/leadership"
 )
 
@@ -24,6 +25,9 @@
 	return status.Leader, status.Epoch, status.Leader.ID != ""
 }
 
-// Held returns the epoch under which this host leads at this moment, which is
+// Held returns the tenure under which this host leads at this moment, which is
 // not before now.
-func (l leaders) Held(time.Time) (epoch uint64, ok bool) { return l.Leading() }
+func (l leaders) Held(time.Time) (idempotency.Tenure, bool) {
+	status := l.election.Current()
+	return idempotency.Tenure{Epoch: status.Epoch, Previous: status.Previous, First: status.First}, status.Self
+}
--- a/internal/daemon/once_handover.go
+++ b/internal/daemon/once_handover.go
@@ -15,6 +15,7 @@
 func (o *once) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
 	defer cancel()
+	o.own.Observe() // a leader that was elected just now takes over what it inherited
 	successor, others := o.successor()
 	if successor.ID == "" {
 		return // the only host: its keys end with it
--- a/internal/idempotency/handover.go
+++ b/internal/idempotency/handover.go
@@ -100,18 +100,26 @@
 func (k *Keeper) tell(ctx context.Context, calls fleet.Caller, r relocation, others []host.Identity) {
 	k.noteMoved(r)
 	var wait sync.WaitGroup
+	defer wait.Wait()
 	limit := make(chan struct{}, tellLimit)
 	for _, other := range others {
+		if k.serial {
+			tellOne(ctx, calls, r, other)
+			continue
+		}
 		limit <- struct{}{}
 		wait.Go(func() {
-			defer func() { <-limit }()
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			var ignored received
-			_ = calls.Call(ctx, other.Fleet, KindMoved, r, &ignored)
+			tellOne(ctx, calls, r, other)
+			<-limit
 		})
 	}
-	wait.Wait()
+}
+
+func tellOne(ctx context.Context, calls fleet.Caller, r relocation, other host.Identity) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var ignored received
+	_ = calls.Call(ctx, other.Fleet, KindMoved, r, &ignored)
 }
 
 // split returns at least one part.
--- a/internal/idempotency/handover_test.go
+++ b/internal/idempotency/handover_test.go
@@ -13,11 +13,11 @@
 )
 
 type fixedLeadership struct {
-	epoch uint64
-	held  bool
+	tenure Tenure
+	held   bool
 }
 
-func (l *fixedLeadership) Held(time.Time) (uint64, bool) { return l.epoch, l.held }
+func (l *fixedLeadership) Held(time.Time) (Tenure, bool) { return l.tenure, l.held }
 
 // Keys that were issued before a planned stop go on to work, used or not.
 func TestPlannedStopKeepsIssuedKeys(t *testing.T) {
@@ -28,6 +28,7 @@
 	var clients []*Client
 	for _, self := range identities {
 		s := &Service{Keeper: NewKeeper(self, clock)}
+		s.Keeper.serial = true
 		n.serve(self.Fleet, s)
 		find := func(host.ID) (host.Identity, bool) { return host.Identity{}, false }
 		if self.ID != identities[0].ID {
@@ -82,7 +83,7 @@
 			clock := func() time.Time { return now }
 			domains := func() Domains { return Domains{Names: []string{"toronto"}, Revision: 1, Fresh: true} }
 			one, two := identityOf(0, 1, "toronto"), identityOf(1, 1, "toronto")
-			leads, follows := &fixedLeadership{epoch: 1, held: true}, &fixedLeadership{}
+			leads, follows := &fixedLeadership{tenure: firstTenure, held: true}, &fixedLeadership{}
 			old := NewOwnKeeper(one, clock, leads, domains)
 			next := NewOwnKeeper(two, clock, follows, domains)
 			n.serve(two.Fleet, &Service{Keeper: NewKeeper(two, clock), Own: next})
@@ -91,9 +92,9 @@
 			old.Finish(finishOf(first, ResultAnswered, &Answer{Status: 201}))
 			leads.held = false
 			if planned {
-				require.NoError(t, old.HandOver(context.Background(), n, 1, two))
+				require.NoError(t, old.HandOver(context.Background(), n, firstTenure.Epoch, two))
 			}
-			follows.epoch, follows.held = 2, true
+			follows.tenure, follows.held = Tenure{Epoch: 9, Previous: firstTenure.Epoch}, true
 			want := map[bool]Verdict{true: VerdictReplay, false: VerdictUnknown}
 			require.Equal(t, want[planned], next.Begin(beginOf("order-1", 2)).Verdict)
 			want = map[bool]Verdict{true: VerdictRun, false: VerdictUnknown}
--- a/internal/idempotency/keeper.go
+++ b/internal/idempotency/keeper.go
@@ -21,9 +21,10 @@
 // Keeper issues keys and keeps their records for the life of its process, and the
 // books that stopping processes handed over to it. It is safe for concurrent use.
 type Keeper struct {
-	self host.Identity
-	now  Clock
-	own  *book
+	self   host.Identity
+	now    Clock
+	own    *book
+	serial bool // sends its messages one by one
 
 	mu      sync.Mutex // guards the fields below; never held across I/O
 	adopted map[bookID]*adoption
--- a/internal/idempotency/model_test.go
+++ b/internal/idempotency/model_test.go
@@ -73,34 +73,41 @@
 
 // modelLeader is the lease of one failure domain.
 type modelLeader struct {
-	host  int
-	epoch uint64
+	host   int
+	tenure Tenure
 }
 
 type modelLeadership struct {
 	m      *model
 	domain string
 	host   int
+	last   Tenure // held last
 }
 
 // Held implements Leadership.
-func (l *modelLeadership) Held(time.Time) (uint64, bool) {
+func (l *modelLeadership) Held(time.Time) (Tenure, bool) {
 	leader := l.m.leaders[l.domain]
-	if l.m.mutation == mutationNoLease {
-		return 1, true
+	if leader.host != l.host {
+		return l.last, l.m.mutation == mutationNoLease && l.last.Epoch != 0
+	}
+	l.last = leader.tenure
+	if l.m.mutation == mutationNoQuarantine {
+		return Tenure{Epoch: leader.tenure.Epoch, Previous: l.m.hosts[l.host].service.Own.term.epoch, First: true}, true
 	}
-	return leader.epoch, leader.host == l.host
+	return leader.tenure, true
 }
 
 func domainOf(i int) string { return []string{"toronto", "hamilton"}[i%2] }
 
+var firstTenure = Tenure{Epoch: 5, First: true}
+
 func newModel(t *rapid.T, broken mutation) *model {
 	m := &model{
 		t:        t,
 		mutation: broken,
 		now:      start,
 		network:  &network{handlers: map[netip.AddrPort]handlers{}},
-		leaders:  map[string]*modelLeader{"toronto": {host: 0, epoch: 1}, "hamilton": {host: 1, epoch: 1}},
+		leaders:  map[string]*modelLeader{"toronto": {host: 0, tenure: firstTenure}, "hamilton": {host: 1, tenure: firstTenure}},
 		domains:  Domains{Names: []string{"toronto", "hamilton"}, Revision: 1, Fresh: true},
 		used:     map[string]time.Time{},
 		runs:     map[string]int{},
@@ -122,6 +129,7 @@
 	leadership := &modelLeadership{m: m, domain: domainOf(i), host: i}
 	own := NewOwnKeeper(h.identity, clock, leadership, func() Domains { return m.known(h) })
 	h.service = &Service{Keeper: NewKeeper(h.identity, clock), Own: own}
+	h.service.Keeper.serial = true
 	h.client = &Client{
 		Self:    h.identity,
 		Local:   h.service,
@@ -318,7 +326,8 @@
 	h, successor := m.hosts[i], m.hosts[(i+2)%modelHosts].identity
 	ctx := context.Background()
 	if leader := m.leaders[domainOf(i)]; leader.host == i {
-		epoch := leader.epoch
+		epoch := leader.tenure.Epoch
+		h.service.Own.Observe()
 		leader.host = -1
 		_ = h.service.Own.HandOver(ctx, m.network, epoch, successor) // lost: the successor begins with a quarantine
 		leader.host = i
@@ -343,10 +352,7 @@
 func (m *model) elect(domain string) {
 	leader := m.leaders[domain]
 	leader.host = (leader.host + 2) % modelHosts
-	leader.epoch++
-	if m.mutation == mutationNoQuarantine {
-		leader.epoch = 1
-	}
+	leader.tenure = Tenure{Epoch: leader.tenure.Epoch + 3, Previous: leader.tenure.Epoch}
 }
 
 func (m *model) loseLease(t *rapid.T) {
--- a/internal/idempotency/own.go
+++ b/internal/idempotency/own.go
@@ -24,10 +24,17 @@
 	observeInterval = 500 * time.Millisecond
 )
 
+// Tenure is the time for which one process leads a failure domain.
+type Tenure struct {
+	Epoch    uint64 // grows from tenure to tenure
+	Previous uint64 // epoch of the tenure before; zero if there was none or it is not known
+	First    bool   // the failure domain had no leader before
+}
+
 // Leadership tells whether this host leads its failure domain.
 type Leadership interface {
-	// Held returns the epoch under which this host surely leads at now.
-	Held(now time.Time) (epoch uint64, ok bool)
+	// Held returns the tenure under which this host surely leads at now.
+	Held(now time.Time) (tenure Tenure, ok bool)
 }
 
 // OwnKeeper keeps the records of keys that callers made up, while its host leads
@@ -97,14 +104,14 @@
 // enter notes the epoch and the failure domains in force. It reports whether
 // this host may decide. The caller holds mu.
 func (k *OwnKeeper) enter(now time.Time, domains Domains) bool {
-	epoch, held := k.leadership.Held(now)
-	if !held || epoch == k.closed {
+	tenure, held := k.leadership.Held(now)
+	if !held || tenure.Epoch == k.closed {
 		return false
 	}
-	if epoch != k.term.epoch && k.inherited.follows(epoch) {
-		k.inherit(epoch)
+	if tenure.Epoch != k.term.epoch && tenure.Previous != k.term.epoch && k.inherited.follows(tenure) {
+		k.inherit()
 	}
-	k.term.observe(now, epoch, domains)
+	k.term.observe(now, tenure, domains)
 	return true
 }
 
@@ -137,16 +144,18 @@
 	}
 }
 
-// observe takes over a new epoch or a new list of failure domains. Epoch 1 under
-// revision 1 is the first leader under the first configuration: nothing can have
-// been lost. A revision that was missed may have listed other domains.
-func (t *ownTerm) observe(now time.Time, epoch uint64, domains Domains) {
-	first := t.epoch == 0 && epoch == 1 && domains.Revision == 1
+// observe takes over a new tenure or a new list of failure domains. Nothing is
+// lost under the first leader and the first configuration, nor if the tenure
+// before was this process's own or was handed over. A revision that was missed
+// may have listed other domains.
+func (t *ownTerm) observe(now time.Time, tenure Tenure, domains Domains) {
+	first := t.epoch == 0 && tenure.First && domains.Revision == 1
+	follows := t.epoch != 0 && (tenure.Epoch == t.epoch || tenure.Previous == t.epoch)
 	missed := t.epoch != 0 && domains.Revision > t.revision+1
-	if (epoch != t.epoch || missed) && !first {
+	if !first && (!follows || missed) {
 		t.quarantine = now.Add(OwnRetention)
 	}
-	t.epoch = epoch
+	t.epoch = tenure.Epoch
 	if t.names != nil && !sameNames(t.names, domains.Names) {
 		t.past = append(t.past, pastDomains{names: t.names, until: now.Add(OwnRetention)})
 	}
--- a/internal/idempotency/own_handover.go
+++ b/internal/idempotency/own_handover.go
@@ -100,19 +100,19 @@
 	return i.head.Epoch
 }
 
-// follows reports whether the inheritance is complete and of the epoch before.
-func (i *inheritance) follows(epoch uint64) bool {
-	return i.head != nil && i.head.Epoch+1 == epoch && len(i.got) == i.head.Parts
+// follows reports whether the inheritance is complete and of the tenure before.
+func (i *inheritance) follows(tenure Tenure) bool {
+	return i.head != nil && i.head.Epoch == tenure.Previous && len(i.got) == i.head.Parts
 }
 
-// inherit takes over the records and the quarantine of the previous epoch. The
+// inherit takes over the records and the quarantine of the tenure before. The
 // caller holds mu.
-func (k *OwnKeeper) inherit(epoch uint64) {
+func (k *OwnKeeper) inherit() {
 	head, at := k.inherited.head, k.inherited.at
 	for _, record := range join(k.inherited.got, at) {
 		k.records.add(record)
 	}
-	k.term = ownTerm{epoch: epoch, quarantine: at.Add(head.Quarantine), names: head.Names, revision: head.Revision}
+	k.term = ownTerm{epoch: head.Epoch, quarantine: at.Add(head.Quarantine), names: head.Names, revision: head.Revision}
 	for _, p := range head.Past {
 		k.term.past = append(k.term.past, pastDomains{names: p.Names, until: at.Add(p.Left)})
 	}
--- a/internal/leadership/campaign.go
+++ b/internal/leadership/campaign.go
@@ -13,7 +13,7 @@
 // Keys of the store. Each is followed by the name of a failure domain.
 const (
 	LeaderPrefix = "peridotrail/leader/" // leased; its creation revision is the epoch
-	EpochPrefix  = "peridotrail/epoch/"  // kept; exists once the domain has had a leader
+	EpochPrefix  = "peridotrail/epoch/"  // kept; the epochs of the latest two leaders
 )
 
 // record is the value of a leader key.
@@ -21,6 +21,13 @@
 	Leader host.Identity `cbor:"1,keyasint"`
 }
 
+// marker is the value of an epoch key. Each leader writes it before it acts.
+type marker struct {
+	Epoch    uint64 `cbor:"1,keyasint"`
+	Previous uint64 `cbor:"2,keyasint"` // zero: none, or not known
+	First    bool   `cbor:"3,keyasint"` // the domain had no leader before
+}
+
 // campaign makes the calls to the store. It remembers the lease that it asked
 // for, so that a key whose answer was lost is recognised as its own.
 type campaign struct {
@@ -36,7 +43,7 @@
 // acquire tries to create the leader key.
 func (c *campaign) acquire(ctx context.Context, now func() time.Time) Result {
 	sent := now()
-	marker, err := c.store.Get(ctx, c.epochKey())
+	marked, err := c.store.Get(ctx, c.epochKey())
 	if err != nil {
 		return Result{Outcome: OutcomeUnavailable}
 	}
@@ -56,13 +63,11 @@
 	if !c.owns(current) {
 		return other(current)
 	}
-	if !marker.Exists() && !c.mark(ctx) {
+	m, ok := c.mark(ctx, marked, uint64(current.Revision))
+	if !ok {
 		return Result{Outcome: OutcomeUnavailable}
 	}
-	return Result{
-		Outcome: OutcomeHeld, Sent: sent, Lease: c.lease,
-		Epoch: uint64(current.Revision), First: !marker.Exists(),
-	}
+	return Result{Outcome: OutcomeHeld, Sent: sent, Lease: c.lease, Epoch: m.Epoch, Previous: m.Previous, First: m.First}
 }
 
 func (c *campaign) owns(entry platform.Entry) bool {
@@ -96,11 +101,23 @@
 	}
 }
 
-// mark notes that the domain has had a leader. It reports false if that is not
-// certain.
-func (c *campaign) mark(ctx context.Context) bool {
-	_, err := c.store.CompareAndSwap(ctx, platform.Write{Key: c.epochKey(), Value: []byte(c.self.ID)})
-	return err == nil || platform.IsKind(err, platform.KindConflict)
+// mark notes the epoch of this leader after those before it. It reports false if
+// that is not certain; the next attempt finds a mark whose answer was lost.
+func (c *campaign) mark(ctx context.Context, marked platform.Entry, epoch uint64) (marker, bool) {
+	var before marker
+	if marked.Exists() && fleet.Unmarshal(marked.Value, &before) != nil {
+		before = marker{} // written by an earlier version
+	}
+	if marked.Exists() && before.Epoch == epoch {
+		return before, true
+	}
+	m := marker{Epoch: epoch, Previous: before.Epoch, First: !marked.Exists()}
+	value, err := fleet.Marshal(m)
+	if err != nil {
+		return m, false
+	}
+	_, err = c.store.CompareAndSwap(ctx, platform.Write{Key: c.epochKey(), Value: value, Expected: marked.Revision})
+	return m, err == nil
 }
 
 func other(entry platform.Entry) Result {
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -87,6 +87,9 @@
 	Leader  host.Identity // that holds the key, with OutcomeOther
 	Epoch   uint64        // of the holder
 	First   bool          // with OutcomeHeld: the domain never had a leader before
+	// Previous is the epoch of the leader before, with OutcomeHeld; zero if there
+	// was none or it is not known.
+	Previous uint64
 }
 
 // Status is what a host knows of the leadership of its domain.
@@ -97,6 +100,10 @@
 	Self     bool // this process leads and may act at this moment
 	HoldOver bool // it acts past its lease because the store is away
 	Pending  bool // it holds the lease and waits for the former leader's term to end
+	// Previous is the epoch of the leader before, if this process leads; zero if
+	// there was none or it is not known.
+	Previous uint64
+	First    bool // this process leads and the domain had no leader before
 }
 
 // Elector is the state of one host's view of the leadership. It is pure: time is
@@ -114,6 +121,8 @@
 	incumbent bool
 
 	leading    bool // this process holds, or held over, the key
+	previous   uint64
+	first      bool
 	lease      platform.LeaseID
 	validUntil time.Time // end of the lease, counted from before it was asked for
 	wonAt      time.Time
@@ -155,6 +164,7 @@
 	if !e.leading {
 		return status
 	}
+	status.Previous, status.First = e.previous, e.first
 	status.Self = e.acting(now)
 	status.HoldOver = status.Self && !now.Before(e.validUntil)
 	status.Pending = now.Before(e.actsFrom)
@@ -328,6 +338,7 @@
 	e.leading = true
 	e.leader = e.self
 	e.epoch = result.Epoch
+	e.previous, e.first = result.Previous, result.First
 	e.heard = now
 	e.released = false
 	e.incumbent = false
