Say what a request was doing when its time or its key ended; no quarantine before the first configuration

Cause: 'The deadline passed' did not say where; a leader that was elected before it had a configuration put own keys into quarantine. Change: a detail for each step; own keys wait for the first configuration. Tested: go test ./internal/entry ./internal/idempotency pass. Conclusion: own keys run from the first configuration on.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -30,7 +30,7 @@
 	if errors.As(err, &rate) {
 		return problem.New(problem.TypeRateExceeded, problem.ExecutedNo, "").After(rate.After())
 	}
-	if p := endProblem(ctx, problem.ExecutedNo); p != nil {
+	if p := endProblem(ctx, problem.ExecutedNo, "while the rate was asked for"); p != nil {
 		return p
 	}
 	var refusal *problem.Problem
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -102,7 +102,7 @@
 		x.payload = payload
 		return nil
 	}
-	if p := endProblem(x.ctx, problem.ExecutedNo); p != nil {
+	if p := endProblem(x.ctx, problem.ExecutedNo, "while the body was read"); p != nil {
 		return p
 	}
 	return malformed("the body can't be read")
@@ -110,7 +110,7 @@
 
 // dispatchProblem translates a refusal of the dispatcher.
 func (x *exchange) dispatchProblem(ctx context.Context, err error) *problem.Problem {
-	if p := endProblem(ctx, x.executed()); p != nil {
+	if p := endProblem(ctx, x.executed(), "while the request waited for a place"); p != nil {
 		return p
 	}
 	var refused *upstream.RefusedError
@@ -131,21 +131,21 @@
 }
 
 // endProblem returns the problem of a request whose context has ended, nil if it
-// has not.
-func endProblem(ctx context.Context, executed problem.Executed) *problem.Problem {
+// has not. when says what the request was doing.
+func endProblem(ctx context.Context, executed problem.Executed, when string) *problem.Problem {
 	if ctx.Err() == nil {
 		return nil
 	}
 	var withdrawn *clientaccount.KeyWithdrawnError
 	if errors.As(context.Cause(ctx), &withdrawn) {
-		return problem.New(problem.TypeKeyWithdrawn, executed, "")
+		return problem.New(problem.TypeKeyWithdrawn, executed, when)
 	}
-	return problem.New(problem.TypeDeadlineExceeded, executed, "")
+	return problem.New(problem.TypeDeadlineExceeded, executed, when)
 }
 
 // sendProblem translates the failure of the last attempt.
 func (x *exchange) sendProblem(ctx context.Context, failure *sendFailure) *problem.Problem {
-	if p := endProblem(ctx, x.executed()); p != nil {
+	if p := endProblem(ctx, x.executed(), "while the request was sent"); p != nil {
 		return p
 	}
 	if failure.refusal != nil {
--- a/internal/idempotency/handover_test.go
+++ b/internal/idempotency/handover_test.go
@@ -19,6 +19,16 @@
 
 func (l *fixedLeadership) Held(time.Time) (Tenure, bool) { return l.tenure, l.held }
 
+// A host that leads before it has a configuration does not begin in quarantine.
+func TestFirstLeaderWaitsForTheConfiguration(t *testing.T) {
+	domains := Domains{}
+	k := NewOwnKeeper(identityOf(0, 1, "toronto"), func() time.Time { return start }, &fixedLeadership{tenure: firstTenure, held: true}, func() Domains { return domains })
+	k.Observe()
+	require.Equal(t, VerdictUnknown, k.Begin(beginOf("order-1", 1)).Verdict)
+	domains = Domains{Names: []string{"toronto"}, Revision: 1, Fresh: true}
+	require.Equal(t, VerdictRun, k.Begin(beginOf("order-1", 2)).Verdict)
+}
+
 // Keys that were issued before a planned stop go on to work, used or not.
 func TestPlannedStopKeepsIssuedKeys(t *testing.T) {
 	n := &network{handlers: map[netip.AddrPort]handlers{}}
--- a/internal/idempotency/own.go
+++ b/internal/idempotency/own.go
@@ -105,7 +105,7 @@
 // this host may decide. The caller holds mu.
 func (k *OwnKeeper) enter(now time.Time, domains Domains) bool {
 	tenure, held := k.leadership.Held(now)
-	if !held || tenure.Epoch == k.closed {
+	if !held || tenure.Epoch == k.closed || domains.Revision == 0 {
 		return false
 	}
 	if tenure.Epoch != k.term.epoch && tenure.Previous != k.term.epoch && k.inherited.follows(tenure) {
--- a/test/once/once_test.go
+++ b/test/once/once_test.go
@@ -42,7 +42,7 @@
 	c := &configuration.Configuration{
 		Regions:        []configuration.Region{{Name: "north"}, {Name: "south"}},
 		FailureDomains: []configuration.FailureDomain{{Name: "north-a", Region: "north"}, {Name: "south-a", Region: "south"}},
-		Services:       []configuration.Service{{Name: "booking", DefaultDeadline: configuration.Duration(5 * time.Second)}},
+		Services:       []configuration.Service{{Name: "booking", DefaultDeadline: configuration.Duration(2 * time.Second), MaxDeadline: configuration.Duration(2 * time.Second)}},
 		Routes:         []configuration.Route{{Service: "booking", Prefix: "/"}},
 		ClientAccounts: []configuration.ClientAccount{{
 			Name: "clinic", Rate: 1000, Burst: 500,
