--- a/internal/daemon/once_handover.go
+++ b/internal/daemon/once_handover.go
@@ -7,6 +7,8 @@
 	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/host"
+	"peridotrail/internal/idempotency"
+	"peridotrail/internal/leadership"
 )
 
 const recordsTimeout = 3 * time.Second // for moving the records of idempotency keys
@@ -20,6 +22,9 @@
 	if successor.ID == "" {
 		return // the only host: its keys end with it
 	}
+	if err := o.own.PassOn(ctx, o.state.host.transport, successor); err != nil {
+		_ = level.Warn(o.state.host.logger).Log("event", "inherited idempotency keys not passed on", "successor", successor.ID, "err", err)
+	}
 	if err := o.service.Keeper.HandOver(ctx, o.state.host.transport, successor, others); err != nil {
 		_ = level.Warn(o.state.host.logger).Log("event", "idempotency keys not handed over", "successor", successor.ID, "err", err)
 	}
@@ -43,8 +48,9 @@
 }
 
 // handOverOwn moves the records of own keys to the next leader.
-func (o *once) handOverOwn(ctx context.Context, epoch uint64, successor host.Identity) {
-	if err := o.own.HandOver(ctx, o.state.host.transport, epoch, successor); err != nil {
+func (o *once) handOverOwn(ctx context.Context, led leadership.Status, successor host.Identity) {
+	tenure := idempotency.Tenure{Epoch: led.Epoch, Previous: led.Previous, First: led.First}
+	if err := o.own.HandOver(ctx, o.state.host.transport, tenure, successor); err != nil {
 		_ = level.Warn(o.state.host.logger).Log("event", "own idempotency keys not handed over", "successor", successor.ID, "err", err)
 	}
 }
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -61,8 +61,8 @@
 	s.election = leadership.New(leadership.Options{
 		Self: h.self, Store: h.options.Store, View: s.members.View, Caller: h.transport,
 		Logger: h.logger, Metrics: h.options.Metrics,
-		BeforeHandOver: func(ctx context.Context, epoch uint64, successor host.Identity) {
-			h.front.once.handOverOwn(ctx, epoch, successor)
+		BeforeHandOver: func(ctx context.Context, led leadership.Status, successor host.Identity) {
+			h.front.once.handOverOwn(ctx, led, successor)
 		},
 	})
 	s.leaders = leaders{election: s.election}
--- a/internal/idempotency/own_handover.go
+++ b/internal/idempotency/own_handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"peridotrail/internal/configuration"
@@ -34,11 +35,47 @@
 }
 
 // HandOver moves the records of own keys to the host that will lead next. It is
-// called once, after this host has stopped leading under epoch and before its
+// called once, after this host has stopped leading under tenure and before its
 // lease ends. It returns a *KeeperError; the next leader then begins with a
 // quarantine.
-func (k *OwnKeeper) HandOver(ctx context.Context, calls fleet.Caller, epoch uint64, successor host.Identity) error {
-	messages := k.export(epoch)
+func (k *OwnKeeper) HandOver(ctx context.Context, calls fleet.Caller, tenure Tenure, successor host.Identity) error {
+	return send(ctx, calls, k.export(tenure), successor)
+}
+
+// PassOn sends what this host inherited, and did not take over because it never
+// led, to another host of the failure domain. The host is stopping.
+func (k *OwnKeeper) PassOn(ctx context.Context, calls fleet.Caller, successor host.Identity) error {
+	return send(ctx, calls, k.unused(), successor)
+}
+
+// unused returns a complete inheritance that was not taken over.
+func (k *OwnKeeper) unused() []*ownHandover {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	i := &k.inherited
+	if i.head == nil || len(i.got) != i.head.Parts {
+		return nil
+	}
+	age := k.now().Sub(i.at)
+	var messages []*ownHandover
+	for part, records := range i.got {
+		m := *i.head
+		m.Part, m.Records = part, slices.Clone(records)
+		for j := range m.Records {
+			m.Records[j].UntilLeft -= age
+			m.Records[j].ExpiresLeft -= age
+		}
+		m.Quarantine = max(0, m.Quarantine-age)
+		m.Past = slices.Clone(m.Past)
+		for j := range m.Past {
+			m.Past[j].Left -= age
+		}
+		messages = append(messages, &m)
+	}
+	return messages
+}
+
+func send(ctx context.Context, calls fleet.Caller, messages []*ownHandover, successor host.Identity) error {
 	for _, message := range messages {
 		var r received
 		if err := calls.Call(ctx, successor.Fleet, KindOwnHandover, message, &r); err != nil {
@@ -48,14 +85,15 @@
 	return nil
 }
 
-// export closes the epoch and returns its messages, none if this process did not
-// keep keys under it.
-func (k *OwnKeeper) export(epoch uint64) []*ownHandover {
+// export closes the tenure and returns its messages, none if records of the one
+// before are missing.
+func (k *OwnKeeper) export(tenure Tenure) []*ownHandover {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.term.epoch != epoch {
+	if !k.reach(tenure) {
 		return nil
 	}
+	epoch := tenure.Epoch
 	k.closed = epoch
 	now := k.now()
 	all := make([]*Record, 0, len(k.records.byID))
@@ -67,7 +105,7 @@
 	for i, part := range parts {
 		m := &ownHandover{
 			Epoch: epoch, Part: i, Parts: len(parts), Records: part,
-			Quarantine: k.term.quarantine.Sub(now), Names: k.term.names, Revision: k.term.revision,
+			Quarantine: max(0, k.term.quarantine.Sub(now)), Names: k.term.names, Revision: k.term.revision,
 		}
 		for _, p := range k.term.past {
 			m.Past = append(m.Past, movedDomains{Names: p.names, Left: p.until.Sub(now)})
@@ -77,6 +115,23 @@
 	return messages
 }
 
+// reach brings the records to the end of the tenure, which this host may have
+// stopped before it had a look at it. The caller holds mu.
+func (k *OwnKeeper) reach(tenure Tenure) bool {
+	if k.term.epoch == tenure.Epoch {
+		return true
+	}
+	own := k.term.epoch != 0 && k.term.epoch == tenure.Previous
+	if !own && !k.inherited.follows(tenure) {
+		return false
+	}
+	if !own {
+		k.inherit()
+	}
+	k.term.epoch = tenure.Epoch
+	return true
+}
+
 // receive takes a part. Parts of another epoch replace what has arrived.
 func (k *OwnKeeper) receive(h *ownHandover) received {
 	k.mu.Lock()
--- a/internal/leadership/service.go
+++ b/internal/leadership/service.go
@@ -39,9 +39,10 @@
 	Timing  Timing           // DefaultTiming if zero
 	Logger  log.Logger       // nil logs nothing
 	Metrics metrics.Registry // nil counts in a private registry
-	// BeforeHandOver is called when this process has stopped leading under epoch
-	// for a graceful shutdown and its lease still holds. Nil does nothing.
-	BeforeHandOver func(ctx context.Context, epoch uint64, successor host.Identity)
+	// BeforeHandOver is called when this process has stopped leading for a
+	// graceful shutdown and its lease still holds. The status is that of its
+	// leadership. Nil does nothing.
+	BeforeHandOver func(ctx context.Context, led Status, successor host.Identity)
 }
 
 // Service runs the Elector of this host. It is safe for concurrent use.
@@ -242,13 +243,14 @@
 // a successor. After it returns, this process does not lead again.
 func (s *Service) HandOver(ctx context.Context) {
 	s.mu.Lock()
+	led := s.elector.Status(time.Now())
 	lease, epoch, successor := s.elector.Stop()
 	s.mu.Unlock()
 	s.notify()
 	if lease == 0 {
 		return
 	}
-	s.beforeHandOver(ctx, epoch, successor)
+	s.beforeHandOver(ctx, led, successor)
 	if err := s.options.Store.Revoke(ctx, lease); err != nil {
 		_ = level.Warn(s.options.Logger).Log("component", "leadership", "msg", "lease not ended", "err", err)
 	}
@@ -262,13 +264,13 @@
 	}
 }
 
-func (s *Service) beforeHandOver(ctx context.Context, epoch uint64, successor host.ID) {
+func (s *Service) beforeHandOver(ctx context.Context, led Status, successor host.ID) {
 	if s.options.BeforeHandOver == nil {
 		return
 	}
 	for _, m := range s.options.View().Members {
 		if m.Identity.ID == successor {
-			s.options.BeforeHandOver(ctx, epoch, m.Identity)
+			s.options.BeforeHandOver(ctx, led, m.Identity)
 		}
 	}
 }
