--- a/internal/allotment/leader/leader.go
+++ b/internal/allotment/leader/leader.go
@@ -56,10 +56,6 @@
 	}
 }
 
-// DefaultFloorFraction is the part of a domain's share that no other domain can
-// take while the domain is cut off.
-const DefaultFloorFraction = 0.5
-
 // defaultHold is the largest request deadline of a service that names none.
 const defaultHold = 30 * time.Second
 
@@ -72,7 +68,7 @@
 	Registry      fleet.Registry
 	Leadership    Leadership
 	Snapshot      func() *configuration.Snapshot // in force, nil before the first
-	FloorFraction float64                        // DefaultFloorFraction if zero
+	FloorFraction float64                        // allotment.DefaultFloorFraction if zero
 	Timing        Timing                         // DefaultTiming if zero
 	Now           func() time.Time               // time.Now if nil
 	Logger        log.Logger                     // nil logs nothing
@@ -105,7 +101,7 @@
 // New creates a Leader and registers its message handlers.
 func New(options Options) *Leader {
 	if options.FloorFraction == 0 {
-		options.FloorFraction = DefaultFloorFraction
+		options.FloorFraction = allotment.DefaultFloorFraction
 	}
 	if options.Timing == (Timing{}) {
 		options.Timing = DefaultTiming()
@@ -222,18 +218,10 @@
 	return l.reign.lenders(l.options.Now(), account, borrower)
 }
 
-// Leave tells the store that no host of the domain holds a share, if that is so,
-// so that the next leader need not wait. It answers no further renewal.
+// Leave tells the store which hosts of the domain hold shares, so that the next
+// leader need not wait for others. This leader answers no further renewal.
 func (l *Leader) Leave(ctx context.Context) {
-	l.mu.Lock()
-	r := l.reign
-	if r == nil || !r.hosts.Empty(l.options.Now()) || !r.term.Owned() {
-		l.mu.Unlock()
-		return
-	}
-	r.closed = true
-	write, ok := r.term.Renew(l.options.Now(), l.options.Self.ID, nil, l.operation(), true)
-	l.mu.Unlock()
+	write, ok := l.handOver()
 	if !ok {
 		return
 	}
@@ -244,6 +232,22 @@
 	}
 }
 
+func (l *Leader) handOver() (platform.Write, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.reign
+	if r == nil || !r.ready() {
+		return platform.Write{}, false
+	}
+	now := l.options.Now()
+	r.closed = true
+	holders, ok := r.hosts.HandOver(now)
+	if !ok {
+		return platform.Write{}, false
+	}
+	return r.term.HandOver(now, l.operation(), holders)
+}
+
 // operation names the next write to the store. The caller holds mu.
 func (l *Leader) operation() string {
 	l.count++
--- a/internal/upstream/dispatcher.go
+++ b/internal/upstream/dispatcher.go
@@ -38,6 +38,7 @@
 	wake    chan struct{}
 	leaving atomic.Bool
 	peers   peerCache
+	asking  sync.WaitGroup // requests for room under way
 }
 
 // plan is the immutable view of one configuration.
@@ -90,18 +91,30 @@
 type Load struct {
 	Upstream string
 	InUse    int
-	Wanted   int // slots that this host could use now
+	// Wanted is the claim to a share. All hosts claim alike, so that shares stay
+	// even and room grants, which move slots within milliseconds, follow demand: a
+	// slot whose share moves is in nobody's share meanwhile.
+	Wanted  int
+	Queued  int  // requests of the service that wait, divided among its upstreams
+	Serving bool // neither ejected nor drained
 }
 
 // Loads returns the use of every upstream of the failure domain.
 func (d *Dispatcher) Loads() []Load {
+	now := d.now()
 	var loads []Load
 	for _, l := range d.current().lanes {
 		l.mu.Lock()
 		queued := l.pool.queue.len()
 		for _, w := range l.pool.workers {
 			share := (queued + len(l.pool.workers) - 1) / len(l.pool.workers)
-			loads = append(loads, Load{Upstream: w.upstream.Name, InUse: w.inUse, Wanted: w.inUse + share})
+			loads = append(loads, Load{
+				Upstream: w.upstream.Name,
+				InUse:    w.inUse,
+				Wanted:   w.upstream.Slots,
+				Queued:   share,
+				Serving:  w.health.state != healthEjected && !w.drained(now),
+			})
 		}
 		l.mu.Unlock()
 	}
