Keep the floor while the extra share is not valid

Cause: a leader whose extra share had ended wrote a smaller total split in halves, so that the floor fell under what its hosts used with a full term; another domain that ended the extra share could then give it out early. Change: without a valid extra share a reduction keeps the floor as long as it can; an assured part that shrinks limits the terms of renewals at once.

--- a/internal/allotment/domain.go
+++ b/internal/allotment/domain.go
@@ -123,6 +123,7 @@
 	if whole != d.wholes[r] || assured != d.assured[r] {
 		d.dirty[r] = struct{}{}
 	}
+	d.beyond = d.beyond || !d.assured[r].Within(assured)
 	if whole.IsZero() {
 		delete(d.wholes, r)
 	} else {
--- a/internal/allotment/fleetplan.go
+++ b/internal/allotment/fleetplan.go
@@ -195,7 +195,11 @@
 	if limit == held || !p.in.InEffect(a.Account, limit) {
 		return
 	}
-	own.split(limit, p.in.FloorFraction, p.in.Generation)
+	if p.in.ExtraValid {
+		own.split(limit, p.in.FloorFraction, p.in.Generation)
+		return
+	}
+	own.keepFloor(limit)
 }
 
 // allowed returns the share that the domain should not exceed.
@@ -251,6 +255,13 @@
 	s.Generation = generation
 }
 
+// keepFloor sets a smaller total, the extra share first: hosts whose term outlasts
+// the domain's use the floor.
+func (s *DomainShare) keepFloor(total Share) {
+	s.Floor = s.Floor.Min(total)
+	s.Extra = total.Minus(s.Floor)
+}
+
 // lower takes a lower rate as in force once all shares are within it.
 func (p *planner) lower(a *FleetAccount) {
 	if a.InForce != a.Target && a.Live().Within(a.Target) {
