Assert that withdrawn keys stop and that shutdowns are graceful

Cause: two of the promises had tests but no check inside the program. Change: a request that is active 5 s after its key was withdrawn, or when a graceful shutdown reports success, is a violation.

--- a/internal/clientaccount/active.go
+++ b/internal/clientaccount/active.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 )
 
 // KeyWithdrawnError is the cause with which the context of a request ends when
@@ -34,6 +35,8 @@
 	account string
 	cancel  context.CancelCauseFunc
 	shard   *shard
+
+	withdrawn time.Time // when the key was withdrawn, zero before; guarded by the shard's mu
 }
 
 // NewActive returns an empty set.
@@ -74,13 +77,45 @@
 			if account, ok := owner(r.digest); ok && account == r.account {
 				continue
 			}
-			r.cancel(&KeyWithdrawnError{Account: r.account})
+			r.withdraw()
 			ended++
 		}
 	}
 	return ended
 }
 
+func (r *Request) withdraw() {
+	r.shard.mu.Lock()
+	if r.withdrawn.IsZero() {
+		r.withdrawn = time.Now()
+	}
+	r.shard.mu.Unlock()
+	r.cancel(&KeyWithdrawnError{Account: r.account})
+}
+
+// Overdue returns the number of requests that are still active although their
+// key was withdrawn more than limit before now.
+func (a *Active) Overdue(now time.Time, limit time.Duration) int {
+	overdue := 0
+	for i := range a.shards {
+		for _, r := range a.shards[i].snapshot() {
+			if r.overdue(now, limit) {
+				overdue++
+			}
+		}
+	}
+	return overdue
+}
+
+func (r *Request) overdue(now time.Time, limit time.Duration) bool {
+	r.shard.mu.Lock()
+	defer r.shard.mu.Unlock()
+	if _, active := r.shard.requests[r]; !active {
+		return false
+	}
+	return !r.withdrawn.IsZero() && now.Sub(r.withdrawn) > limit
+}
+
 // Count returns the number of active requests.
 func (a *Active) Count() int {
 	count := 0
--- a/internal/clientaccount/enforcer.go
+++ b/internal/clientaccount/enforcer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotrail/internal/configuration"
+	"peridotrail/internal/invariant"
 )
 
 // SweepInterval is the time between two looks at the configuration in force. It
@@ -25,7 +26,9 @@
 	// Withdrawn is called with the number of requests that were ended; may be nil.
 	Withdrawn func(ended int)
 
-	applied configuration.Revision
+	applied  configuration.Revision
+	enforced time.Time              // when applied was enforced
+	checked  configuration.Revision // whose ended requests are known to be gone
 }
 
 // Run enforces each new revision until ctx ends.
@@ -46,6 +49,7 @@
 func (e *Enforcer) Step() {
 	keys, revision := e.InForce()
 	if keys == nil || revision == e.applied {
+		e.checkOverdue()
 		return
 	}
 	owner := func(d Digest) (string, bool) {
@@ -54,11 +58,29 @@
 	}
 	ended := e.Active.Withdraw(owner)
 	e.applied = revision
+	e.enforced = time.Now()
 	if ended > 0 && e.Withdrawn != nil {
 		e.Withdrawn(ended)
 	}
 }
 
+// EndLimit is the time within which a request ends after its key was withdrawn.
+const EndLimit = 5 * time.Second
+
+// checkOverdue looks for requests that a withdrawal did not end. Requests end
+// without a new revision, hence between the revisions.
+func (e *Enforcer) checkOverdue() {
+	if e.applied == e.checked {
+		return
+	}
+	if time.Since(e.enforced) <= EndLimit {
+		return
+	}
+	overdue := e.Active.Overdue(time.Now(), EndLimit)
+	invariant.Check(overdue == 0, invariant.WithdrawnKeyStops, "%d requests run %s after their key was withdrawn", overdue, EndLimit)
+	e.checked = e.applied
+}
+
 // SnapshotKeys adapts the configuration in force to Enforcer.InForce.
 func SnapshotKeys(current func() *configuration.Snapshot) func() (Keys, configuration.Revision) {
 	return func() (Keys, configuration.Revision) {
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"peridotrail/internal/invariant"
 )
 
 // Shutdown ends the host gracefully: look-ups stop naming it, then it takes no
@@ -19,6 +21,8 @@
 	wait(ctx, h.options.Settings.Shutdown.Notice.Std())
 	err := h.front.drain(ctx)
 	h.front.once.handOver(ctx)
+	invariant.Check(err != nil || h.front.active.Count()+h.front.inUse() == 0, invariant.GracefulShutdown,
+		"%d callers and %d upstream requests were still active", h.front.active.Count(), h.front.inUse())
 	h.state.handOver(ctx)
 	h.end()
 	if err != nil {
