--- a/test/failure/soak_test.go
+++ b/test/failure/soak_test.go
@@ -1,6 +1,7 @@
 package failure
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -21,9 +22,10 @@
 )
 
 const (
-	faultPause  = 700 * time.Millisecond // between two faults
-	bookPause   = 25 * time.Millisecond  // between two bookings
-	maxAttempts = 3                      // of one booking
+	faultPause   = 700 * time.Millisecond // between two faults
+	bookPause    = 25 * time.Millisecond  // between two bookings
+	maxAttempts  = 3                      // of one booking
+	applyTimeout = time.Second
 )
 
 // soak injects faults and sends bookings while the rate of one account is
@@ -114,7 +116,9 @@
 	next.Drains = []configuration.Drain{{
 		Name: "soak", Kind: configuration.DrainUpstream, Target: next.Upstreams[s.random.IntN(len(next.Upstreams))].Name,
 	}}
-	if _, err := s.Apply(s.t.Context(), &next); err == nil {
+	ctx, cancel := context.WithTimeout(s.t.Context(), applyTimeout)
+	defer cancel()
+	if _, err := s.Apply(ctx, &next); err == nil {
 		s.current = &next
 	}
 }
