Do not renew shares of an ended generation

Cause: a domain that came back after its extra share was ended renewed its record, and the new term revived what a host still held of the old share. Change: the leader knows the domain's share besides what it wants to use; holders of an account whose live shares exceed it are not renewed.

--- a/internal/allotment/bench_test.go
+++ b/internal/allotment/bench_test.go
@@ -22,7 +22,7 @@
 	for i := range benchAccounts {
 		r := AccountResource(fmt.Sprintf("account-%03d", i))
 		whole := Share{Rate: 100, Burst: 200}
-		d.SetWhole(r, whole, whole)
+		d.SetWhole(r, whole, whole, whole)
 		d.Fence(r)
 	}
 	var shares []*HostShares
--- a/internal/allotment/domain.go
+++ b/internal/allotment/domain.go
@@ -49,7 +49,9 @@
 	sequence uint64                 // newest grant to any holder; a holder that returns sees no sequence twice
 	holders  map[holderKey]*holder
 	wholes   map[Resource]Share
-	assured  map[Resource]Share    // part of the whole that has no end
+	assured  map[Resource]Share    // part of the domain's share that has no end
+	totals   map[Resource]Share    // the domain's share
+	excess   map[Resource]struct{} // live shares may exceed the domain's share
 	adopted  map[Resource]Share    // sum of the shares that former leaders granted
 	fenced   map[Resource]struct{} // former leaders cannot change the domain's share any more
 	dirty    map[Resource]struct{} // to be divided at the next Divide
@@ -69,6 +71,8 @@
 		holders: map[holderKey]*holder{},
 		wholes:  map[Resource]Share{},
 		assured: map[Resource]Share{},
+		totals:  map[Resource]Share{},
+		excess:  map[Resource]struct{}{},
 		adopted: map[Resource]Share{},
 		fenced:  map[Resource]struct{}{},
 		dirty:   map[Resource]struct{}{},
@@ -116,24 +120,30 @@
 	}
 }
 
-// SetWhole changes what the domain may use of a resource. The part above assured
-// may be used until the end given to SetEnd. A smaller whole takes effect at the
-// next Divide, and is in effect once InEffect says so.
-func (d *DomainAllotment) SetWhole(r Resource, whole, assured Share) {
+// SetWhole changes what the hosts are to use of a resource. Total is the share that
+// the domain has now, and the part above assured may be used until the end given
+// to SetEnd. A smaller whole takes effect at the next Divide, and is in effect once
+// InEffect says so.
+func (d *DomainAllotment) SetWhole(r Resource, whole, total, assured Share) {
 	if whole != d.wholes[r] || assured != d.assured[r] {
 		d.dirty[r] = struct{}{}
 	}
-	d.beyond = d.beyond || !d.assured[r].Within(assured)
-	if whole.IsZero() {
-		delete(d.wholes, r)
-	} else {
-		d.wholes[r] = whole
+	if _, account := r.Account(); account && !d.totals[r].Within(total) {
+		d.excess[r] = struct{}{}
+		d.dirty[r] = struct{}{}
 	}
-	if assured.IsZero() {
-		delete(d.assured, r)
-	} else {
-		d.assured[r] = assured
+	d.beyond = d.beyond || !d.assured[r].Within(assured)
+	store(d.wholes, r, whole)
+	store(d.totals, r, total)
+	store(d.assured, r, assured)
+}
+
+func store(shares map[Resource]Share, r Resource, share Share) {
+	if share.IsZero() {
+		delete(shares, r)
+		return
 	}
+	shares[r] = share
 }
 
 // SetEnd sets the end of the right to use more than the assured shares. It never
@@ -214,16 +224,26 @@
 		h.process(request, d.dirty)
 	}
 	answer.Sequence = h.sequence
-	answer.Term = d.term(now)
+	answer.Term = d.term(now, h)
 	answer.Reset = request.Full
 	answer.Grants = h.changes(request.Applied, request.Full)
 	slices.SortFunc(answer.Grants, func(a, b Grant) int { return cmp.Compare(a.Resource, b.Resource) })
 	return answer
 }
 
-// term returns the longest term that an answer may give.
-func (d *DomainAllotment) term(now time.Time) time.Duration {
-	if !d.beyond || d.rules.ignoreEnd {
+// term returns the longest term that an answer to a holder may give. Nothing is
+// renewed of an account whose live shares exceed the domain's share: they were
+// granted under a right that has ended.
+func (d *DomainAllotment) term(now time.Time, h *holder) time.Duration {
+	if d.rules.ignoreEnd {
+		return d.terms.Term
+	}
+	for r := range d.excess {
+		if e := h.entries[r]; e != nil && !e.live().IsZero() {
+			return 0
+		}
+	}
+	if !d.beyond {
 		return d.terms.Term
 	}
 	return max(min(d.terms.Term, d.end.Sub(now)), 0)
@@ -297,15 +317,21 @@
 	clear(d.dirty)
 	for _, r := range resources {
 		d.divide(now, r, keys)
-		d.beyond = d.beyond || d.exceeds(now, r)
+		d.beyond = d.beyond || d.exceeds(now, r, d.assured[r])
+		if d.exceeds(now, r, d.totals[r]) {
+			d.excess[r] = struct{}{}
+			d.dirty[r] = struct{}{}
+		} else {
+			delete(d.excess, r)
+		}
 	}
 }
 
-// exceeds reports whether the live shares of an account are more than assured.
-// Upstreams belong to the domain and have no end.
-func (d *DomainAllotment) exceeds(now time.Time, r Resource) bool {
+// exceeds reports whether the live shares of an account are more than limit.
+// Upstreams belong to the domain.
+func (d *DomainAllotment) exceeds(now time.Time, r Resource, limit Share) bool {
 	_, account := r.Account()
-	return account && !d.live(now, r).Within(d.assured[r])
+	return account && !d.live(now, r).Within(limit)
 }
 
 func (d *DomainAllotment) forget(now time.Time) {
--- a/internal/allotment/domain_model_test.go
+++ b/internal/allotment/domain_model_test.go
@@ -135,7 +135,7 @@
 	}
 	l.allotment.rules = m.rules
 	for r, whole := range m.inForce {
-		l.allotment.SetWhole(r, whole, whole)
+		l.allotment.SetWhole(r, whole, whole, whole)
 		l.allotment.Fence(r)
 	}
 	m.leaders = append(m.leaders, l)
@@ -263,7 +263,8 @@
 	}
 	now := l.local(m.now)
 	for _, r := range modelResources {
-		l.allotment.SetWhole(r, m.target[r], m.target[r].Max(m.inForce[r]))
+		limit := m.target[r].Max(m.inForce[r])
+		l.allotment.SetWhole(r, m.target[r], limit, limit)
 	}
 	l.allotment.Divide(now)
 	for _, r := range modelResources {
--- a/internal/allotment/fleet_model_test.go
+++ b/internal/allotment/fleet_model_test.go
@@ -237,8 +237,8 @@
 
 // adopt passes the domain's share on to the division among its hosts.
 func (m *fleetModel) adopt(l *fleetLeader) {
-	whole, assured := l.view.Usable("large", l.term.Generation(), m.extraValid(l))
-	l.hosts.SetWhole(modelLarge, whole, assured)
+	whole, total, assured := l.view.Usable("large", l.term.Generation(), m.extraValid(l))
+	l.hosts.SetWhole(modelLarge, whole, total, assured)
 	l.hosts.SetEnd(l.term.Until())
 	if former, known := l.term.Holders(); known {
 		l.hosts.SetFormer(former)
@@ -476,7 +476,7 @@
 // TestFleetMutations shows that each rule between failure domains is needed.
 func TestFleetMutations(t *testing.T) {
 	mutations := []mutation{
-		{"reclaim extra shares without waiting", rules{reclaimUnfenced: true}, 39},
+		{"reclaim extra shares without waiting", rules{reclaimUnfenced: true}, 71},
 		{"forget a write with a lost answer", rules{ignoreLostWrite: true}, 653},
 		{"renew beyond the domain's term", rules{ignoreEnd: true}, 3408},
 	}
--- a/internal/allotment/fleetview.go
+++ b/internal/allotment/fleetview.go
@@ -95,19 +95,21 @@
 	return v.loaded && v.document.Epoch(v.domain) == epoch
 }
 
-// Usable returns what the domain may use of an account, and the part of it that
-// has no end. Generation is the one of the domain's record; extra says that the
-// record is renewed.
-func (v *FleetView) Usable(account string, generation uint64, extra bool) (whole, assured Share) {
-	whole, assured = usable(&v.document, v.domain, account, generation, extra)
+// Usable returns what the hosts are to use of an account, the share that the domain
+// has now, and the part of it that has no end. Generation is the one of the
+// domain's record; extra says that the record is renewed.
+func (v *FleetView) Usable(account string, generation uint64, extra bool) (whole, total, assured Share) {
+	total, assured = usable(&v.document, v.domain, account, generation, true)
+	whole, _ = usable(&v.document, v.domain, account, generation, extra)
 	if v.pending != nil {
-		w, a := usable(&v.pending.document, v.domain, account, generation, extra)
-		whole, assured = whole.Min(w), assured.Min(a)
+		t, a := usable(&v.pending.document, v.domain, account, generation, true)
+		w, _ := usable(&v.pending.document, v.domain, account, generation, extra)
+		whole, total, assured = whole.Min(w), total.Min(t), assured.Min(a)
 	}
 	if limit, ok := v.caps[account]; ok {
 		whole = whole.Min(limit)
 	}
-	return whole, assured
+	return whole, total, assured
 }
 
 func usable(d *FleetDocument, domain, account string, generation uint64, extra bool) (whole, assured Share) {
--- a/internal/allotment/leader/reign.go
+++ b/internal/allotment/leader/reign.go
@@ -100,11 +100,11 @@
 		fenced := view.Fenced(r.epoch)
 		for _, a := range view.Document().Accounts {
 			resource := allotment.AccountResource(a.Account)
-			whole, assured := view.Usable(a.Account, r.term.Generation(), extra)
+			whole, total, assured := view.Usable(a.Account, r.term.Generation(), extra)
 			if dead(snapshot, r.options.Self.FailureDomain) {
-				whole, assured = allotment.Share{}, allotment.Share{}
+				whole, total, assured = allotment.Share{}, allotment.Share{}, allotment.Share{}
 			}
-			r.hosts.SetWhole(resource, whole, assured)
+			r.hosts.SetWhole(resource, whole, total, assured)
 			if fenced {
 				r.hosts.Fence(resource)
 			}
@@ -113,7 +113,7 @@
 	}
 	for name := range r.accounts {
 		if _, ok := seen[name]; !ok {
-			r.hosts.SetWhole(allotment.AccountResource(name), allotment.Share{}, allotment.Share{})
+			r.hosts.SetWhole(allotment.AccountResource(name), allotment.Share{}, allotment.Share{}, allotment.Share{})
 		}
 	}
 	r.accounts = seen
@@ -129,13 +129,13 @@
 		}
 		resource := allotment.UpstreamResource(u.Name)
 		whole := allotment.Share{Slots: u.Slots, Connections: u.Connections}
-		r.hosts.SetWhole(resource, whole, whole)
+		r.hosts.SetWhole(resource, whole, whole, whole)
 		r.hosts.Fence(resource)
 		seen[u.Name] = struct{}{}
 	}
 	for name := range r.upstreams {
 		if _, ok := seen[name]; !ok {
-			r.hosts.SetWhole(allotment.UpstreamResource(name), allotment.Share{}, allotment.Share{})
+			r.hosts.SetWhole(allotment.UpstreamResource(name), allotment.Share{}, allotment.Share{}, allotment.Share{})
 		}
 	}
 	r.upstreams = seen
