Decide the steps of a shift on averaged free slots

Cause: in the measure command's shift scenario one step was made and the next waited for free slots in all services at one moment, which hardly ever came. Change: ShiftDuty averages the free slots of both domains over 5 s. Tested: TestShiftDoesNotDependOnOneMoment, which fails without the average.

--- a/internal/steering/planner.go
+++ b/internal/steering/planner.go
@@ -34,10 +34,22 @@
 	FreeSlots map[string]int // by service
 	Slots     map[string]int // configured, by service
 	At        time.Time      // age of the oldest part, on this host's clock
+
+	mean map[string]float64 // free slots by service, averaged; FreeSlots counts if nil
+}
+
+// free returns the free slots of a service.
+func (m *Measure) free(service string) float64 {
+	if m.mean != nil {
+		return m.mean[service]
+	}
+	return float64(m.FreeSlots[service])
 }
 
 // used returns the slots in use of a service.
-func (m *Measure) used(service string) int { return max(0, m.Slots[service]-m.FreeSlots[service]) }
+func (m *Measure) used(service string) float64 {
+	return math.Max(0, float64(m.Slots[service])-m.free(service))
+}
 
 // Observed is a progress document with the time from which this host has known
 // its current step. A leader that takes over has known no step for long.
@@ -178,8 +190,8 @@
 func fits(change, moved float64, from, to Measure) bool {
 	remaining := max(1-moved, change)
 	for service := range from.Slots {
-		need := change / remaining * float64(from.used(service))
-		if need > coldShare*float64(to.FreeSlots[service]) {
+		need := change / remaining * from.used(service)
+		if need > coldShare*to.free(service) {
 			return false
 		}
 	}
--- a/internal/steering/shift_duty.go
+++ b/internal/steering/shift_duty.go
@@ -37,6 +37,7 @@
 	observer *Observer
 	epoch    uint64 // of the leadership that observer belongs to; zero: none
 	read     time.Time
+	averages map[string]*average // by failure domain
 }
 
 // NewShiftDuty creates the duty.
@@ -47,7 +48,15 @@
 	if options.MaxAge == 0 {
 		options.MaxAge = DefaultMaxAge
 	}
-	return &ShiftDuty{options: options, planner: Planner{MaxAge: options.MaxAge}, observer: NewObserver()}
+	return &ShiftDuty{options: options, planner: Planner{MaxAge: options.MaxAge}, observer: NewObserver(), averages: map[string]*average{}}
+}
+
+// measure returns the present measure of a failure domain with averages.
+func (d *ShiftDuty) measure(domain string, now time.Time) Measure {
+	if d.averages[domain] == nil {
+		d.averages[domain] = &average{}
+	}
+	return d.averages[domain].add(d.options.Measure(domain), now)
 }
 
 // Run makes steps until ctx ends.
@@ -138,7 +147,7 @@
 	}
 	now := d.options.Now()
 	others := d.observer.From(d.options.Self.FailureDomain, name)
-	from, target := d.options.Measure(d.options.Self.FailureDomain), d.options.Measure(to)
+	from, target := d.measure(d.options.Self.FailureDomain, now), d.measure(to, now)
 	next, changed := d.planner.Plan(observed, wanted, others, from, target, now)
 	if !changed {
 		return
--- a/internal/steering/shift_test.go
+++ b/internal/steering/shift_test.go
@@ -100,12 +100,14 @@
 	wanted  []configuration.Shift
 	leading []bool
 	duties  []*ShiftDuty
+	source  Measure
 	target  Measure
 }
 
 func newShiftWorld(hosts int) *shiftWorld {
 	w := &shiftWorld{now: testNow, leading: make([]bool, hosts)}
 	w.store = &shiftStore{now: func() time.Time { return w.now }, entries: map[string]platform.Entry{}}
+	w.source = Measure{LiveHosts: 2, FreeSlots: map[string]int{"s": 20}, Slots: map[string]int{"s": 100}}
 	w.target = Measure{LiveHosts: 2, FreeSlots: map[string]int{"s": 100}, Slots: map[string]int{"s": 100}}
 	for i := range hosts {
 		w.duties = append(w.duties, NewShiftDuty(ShiftOptions{
@@ -115,7 +117,7 @@
 			},
 			Leading: func() (uint64, bool) { return 1, w.leading[i] },
 			Measure: func(domain string) Measure {
-				m := Measure{LiveHosts: 2, FreeSlots: map[string]int{"s": 20}, Slots: map[string]int{"s": 100}}
+				m := w.source
 				if domain == "toronto" {
 					m = w.target
 				}
@@ -194,6 +196,21 @@
 	w.checkSteps(t)
 }
 
+func TestShiftDoesNotDependOnOneMoment(t *testing.T) {
+	w := newShiftWorld(1)
+	w.leading[0] = true
+	w.wanted = []configuration.Shift{testShift()}
+	w.source.Slots["r"] = 100
+	w.source.FreeSlots["r"] = 20
+	w.target.Slots["r"] = 100
+	for i := range 400 {
+		w.target.FreeSlots = map[string]int{"s": 100 * (i % 2), "r": 100 * (1 - i%2)}
+		w.run(time.Second)
+	}
+	require.Equal(t, 0.5, w.moved("s"), "no moment shows free slots of both services")
+	w.checkSteps(t)
+}
+
 func TestShiftsFromOneDomainHoldSeparateRanges(t *testing.T) {
 	w := newShiftWorld(1)
 	w.leading[0] = true
