Hand own keys over also when the leader names no successor

Cause: a leader that stopped before it knew its restarted neighbour as live named no successor, and the records of own keys were lost. Change: the daemon then picks a live host of the failure domain by itself.

--- a/internal/daemon/once_handover.go
+++ b/internal/daemon/once_handover.go
@@ -49,6 +49,12 @@
 
 // handOverOwn moves the records of own keys to the next leader.
 func (o *once) handOverOwn(ctx context.Context, led leadership.Status, successor host.Identity) {
+	if successor.ID == "" {
+		successor, _ = o.successor() // a host that has just started may lead next
+	}
+	if successor.FailureDomain != o.state.host.self.FailureDomain {
+		return // no host of the domain is left to take the records
+	}
 	tenure := idempotency.Tenure{Epoch: led.Epoch, Previous: led.Previous, First: led.First}
 	if err := o.own.HandOver(ctx, o.state.host.transport, tenure, successor); err != nil {
 		_ = level.Warn(o.state.host.logger).Log("event", "own idempotency keys not handed over", "successor", successor.ID, "err", err)
--- a/internal/leadership/service.go
+++ b/internal/leadership/service.go
@@ -41,7 +41,7 @@
 	Metrics metrics.Registry // nil counts in a private registry
 	// BeforeHandOver is called when this process has stopped leading for a
 	// graceful shutdown and its lease still holds. The status is that of its
-	// leadership. Nil does nothing.
+	// leadership; successor is zero if none is known. Nil does nothing.
 	BeforeHandOver func(ctx context.Context, led Status, successor host.Identity)
 }
 
@@ -268,11 +268,13 @@
 	if s.options.BeforeHandOver == nil {
 		return
 	}
+	var next host.Identity
 	for _, m := range s.options.View().Members {
 		if m.Identity.ID == successor {
-			s.options.BeforeHandOver(ctx, led, m.Identity)
+			next = m.Identity
 		}
 	}
+	s.options.BeforeHandOver(ctx, led, next)
 }
 
 func (s *Service) handleHandover(_ context.Context, from host.Identity, decode fleet.Decoder) (any, error) {
