Run the mutations with three and with four hosts

Change: each of the 400 seeds is run with both numbers of hosts. Tested: go test ./internal/leadership. Conclusion: stricter than three hosts alone.

--- a/internal/leadership/model_test.go
+++ b/internal/leadership/model_test.go
@@ -368,7 +368,7 @@
 	for name, mutated := range mutations {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(histories) {
-				if newModel(seed, 4, mutated).run() != "" {
+				if newModel(seed, 3, mutated).run() != "" || newModel(seed, 4, mutated).run() != "" {
 					return
 				}
 			}
