--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,9 @@
 # Measures the slopes of docs/CAPACITY.md again and fails when the page differs.
 capacity:
 	$(GO) run ./test/capacity --check docs/CAPACITY.md
+
+# A long randomised run over the whole path, such as make soak SEED=7 LENGTH=10m.
+SEED ?= 1
+LENGTH ?= 2m
+soak:
+	$(GO) test -count=1 -timeout 0 -v -run TestSoak ./test/failure -args -soak.seed=$(SEED) -soak.length=$(LENGTH)
--- a/internal/daemon/front.go
+++ b/internal/daemon/front.go
@@ -9,9 +9,7 @@
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/duty"
 	"peridotrail/internal/entry"
-	"peridotrail/internal/entry/forward"
 	"peridotrail/internal/fleet/relay"
-	"peridotrail/internal/host"
 	"peridotrail/internal/servicelevel"
 	"peridotrail/internal/steering"
 	"peridotrail/internal/upstream"
@@ -34,7 +32,7 @@
 		Self:          h.self,
 		Configuration: h.configuration,
 		Capacity:      h.state.capacity,
-		Transports:    transports{relay: &relay.Client{Streams: h.transport}},
+		Transports:    h.state.transports,
 		Peers:         h.state.peers,
 		Caller:        h.transport,
 		Metrics:       h.options.Metrics,
@@ -129,18 +127,3 @@
 	}
 	return snapshot.Configuration
 }
-
-// transports builds what permits send requests with.
-type transports struct {
-	relay *relay.Client
-}
-
-// Upstream implements upstream.TransportFactory.
-func (t transports) Upstream(_ configuration.Upstream, limit func() int) http.RoundTripper {
-	return forward.NewTransport(limit)
-}
-
-// Peer implements upstream.TransportFactory.
-func (t transports) Peer(peer host.Identity) http.RoundTripper {
-	return t.relay.Transport(peer.Fleet, relay.Metadata{})
-}
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -34,11 +34,12 @@
 	allotment   *leader.Leader
 	burn        *servicelevel.Tracker
 	dispatcher  *upstream.Dispatcher
+	transports  *transports
 	leaving     atomic.Bool
 }
 
 func newState(h *Host) *state {
-	s := &state{host: h}
+	s := &state{host: h, transports: newTransports(h.transport)}
 	s.wireMembership()
 	s.wireDistribution()
 	s.wireAllotment()
@@ -136,6 +137,7 @@
 	for _, load := range loads {
 		reports = append(reports, holder.UpstreamLoad{
 			Upstream: load.Upstream, InUse: load.InUse, Wanted: float64(load.Wanted),
+			Connections: s.transports.open(load.Upstream),
 		})
 	}
 	return reports
@@ -165,10 +167,11 @@
 
 // handOver gives shares and leadership back to the failure domain.
 func (s *state) handOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	s.admitter.Return(ctx)
-	s.capacity.Leave(ctx)
-	s.allotment.Leave(ctx)
-	s.election.HandOver(ctx)
+	for _, step := range []func(context.Context){
+		s.admitter.Return, s.capacity.Leave, s.allotment.Leave, s.election.HandOver,
+	} {
+		bounded, cancel := context.WithTimeout(ctx, announceTimeout)
+		step(bounded)
+		cancel()
+	}
 }
