--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"peridotrail/internal/fleet"
 	"peridotrail/internal/host"
 )
@@ -31,6 +33,7 @@
 	if h.listeners.entry, err = listenTCP("entry", s.Entry.Listen); err != nil {
 		return err
 	}
+	h.listeners.entry = netutil.LimitListener(h.listeners.entry, s.Limits.MaxConnections)
 	if h.listeners.admin, err = listenTCP("admin", s.Admin.Listen); err != nil {
 		return err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,8 +79,7 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	MaxConnections int `json:"maxConnections"`
-	MaxHeaderBytes int `json:"maxHeaderBytes"`
+	MaxConnections int `json:"maxConnections"` // open at the same time; further ones wait
 }
 
 // StaleKeyPolicy says what a host does with keyed requests once it has been cut
@@ -104,7 +103,6 @@
 	defaultNotice         = 12 * time.Second
 	defaultGrace          = 45 * time.Second
 	defaultMaxConnections = 20000
-	defaultMaxHeaderBytes = 32 << 10
 	defaultStaleKeyAfter  = 5 * time.Minute
 	defaultLogLevel       = "info"
 )
@@ -114,7 +112,7 @@
 	return Settings{
 		Log:      Log{Level: defaultLogLevel},
 		Shutdown: Shutdown{Notice: configuration.Duration(defaultNotice), Grace: configuration.Duration(defaultGrace)},
-		Limits:   Limits{MaxConnections: defaultMaxConnections, MaxHeaderBytes: defaultMaxHeaderBytes},
+		Limits:   Limits{MaxConnections: defaultMaxConnections},
 		StaleKey: StaleKey{Policy: StaleKeyServe, After: configuration.Duration(defaultStaleKeyAfter)},
 	}
 }
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -78,7 +78,6 @@
 	v.check(s.Shutdown.Notice < s.Shutdown.Grace, "shutdown.notice", configuration.CodeRange, "the notice must be shorter than the grace period %s", s.Shutdown.Grace.Std())
 	v.check(s.Shutdown.Grace > 0, "shutdown.grace", configuration.CodeRange, "the duration must be positive")
 	v.check(s.Limits.MaxConnections > 0, "limits.maxConnections", configuration.CodeRange, "the number must be positive")
-	v.check(s.Limits.MaxHeaderBytes > 0, "limits.maxHeaderBytes", configuration.CodeRange, "the number of bytes must be positive")
 	v.check(s.StaleKey.Policy == StaleKeyServe || s.StaleKey.Policy == StaleKeyRefuse, "staleKey.policy", configuration.CodeFormat, "%q is not one of serve, refuse", s.StaleKey.Policy)
 	v.check(s.StaleKey.After > 0, "staleKey.after", configuration.CodeRange, "the duration must be positive")
 }
