Use the certificates' own watch loop in the daemon

Change: the daemon calls Watch. Tested: go vet ./cmd/...; keys has its own rotation tests. Conclusion: one reload loop.

--- a/cmd/peridotraild/serve.go
+++ b/cmd/peridotraild/serve.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
@@ -81,7 +80,9 @@
 	if err != nil {
 		return err
 	}
-	go reloadKeys(ctx, files, logger)
+	go files.Watch(ctx, reloadPeriod, func(err error) {
+		_ = level.Error(logger).Log("event", "certificates not reloaded", "err", err) // logs are best effort
+	})
 	select {
 	case <-ctx.Done():
 	case <-h.Failed():
@@ -93,23 +94,6 @@
 	return h.Shutdown(grace)
 }
 
-// reloadKeys reads certificates again until ctx ends, so that they can be
-// replaced without a restart.
-func reloadKeys(ctx context.Context, files *keys.Files, logger log.Logger) {
-	ticker := time.NewTicker(reloadPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if err := files.Reload(); err != nil {
-				_ = level.Error(logger).Log("event", "certificates not reloaded", "err", err)
-			}
-		}
-	}
-}
-
 func exitCode(err error) int {
 	var invalid *configuration.InvalidError
 	if errors.As(err, &invalid) {
