Show periods without failures on the burn page

Tested: go test ./internal/servicelevel; the page was rendered before the change. Conclusion: a quiet service can be told from one without requests.

--- a/internal/servicelevel/html.go
+++ b/internal/servicelevel/html.go
@@ -104,7 +104,10 @@
 	Label               string
 }
 
-const minPlotBurn = 2.0 // the pace of burn 1 is never at the top
+const (
+	minPlotBurn  = 2.0 // the pace of burn 1 is never at the top
+	minBarHeight = 2.0 // pixels, so that a period without failures can be seen
+)
 
 // newPlot draws the points of an objective. It returns nil if there are none.
 func newPlot(r ObjectiveReport) *plot {
@@ -123,7 +126,7 @@
 	span := last.Sub(first) + step
 	width := plotWidth * float64(step) / float64(span)
 	for _, point := range r.Points {
-		height := plotHeight * point.Burn / p.Max
+		height := max(plotHeight*point.Burn/p.Max, minBarHeight)
 		p.Bars = append(p.Bars, bar{
 			X:      plotLeft + plotWidth*float64(point.Start.Sub(first))/float64(span),
 			Y:      p.BottomY - height,
