--- a/cmd/peridotrailctl/main.go
+++ b/cmd/peridotrailctl/main.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"peridotrail/internal/ctl"
-	"peridotrail/internal/platform"
-	"peridotrail/internal/platform/httpstore"
+	"peridotrail/internal/kvstore"
+	"peridotrail/internal/kvstore/httpstore"
 )
 
 // pause is the time between looks of commands that wait.
@@ -24,7 +24,7 @@
 	app := &ctl.App{
 		Stdout:    os.Stdout,
 		Stderr:    os.Stderr,
-		OpenStore: func(endpoints []string) platform.Store { return httpstore.New(endpoints) },
+		OpenStore: func(endpoints []string) kvstore.Store { return httpstore.New(endpoints) },
 		HTTP:      &http.Client{},
 		Now:       time.Now,
 		Pause:     pause,
--- a/cmd/peridotraild/serve.go
+++ b/cmd/peridotraild/serve.go
@@ -14,8 +14,8 @@
 	"peridotrail/internal/daemon"
 	"peridotrail/internal/fleet/keys"
 	"peridotrail/internal/invariant"
+	"peridotrail/internal/kvstore/httpstore"
 	"peridotrail/internal/observe"
-	"peridotrail/internal/platform/httpstore"
 	"peridotrail/internal/settings"
 )
 
--- a/internal/allotment/domainobserver.go
+++ b/internal/allotment/domainobserver.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // DomainObserver watches the records of the other domains and decides when their
@@ -23,13 +23,13 @@
 
 type observed struct {
 	record   DomainRecord
-	revision platform.Revision
+	revision kvstore.Revision
 	since    time.Time // first seen at this revision
 }
 
 // fencing is a write that ends a domain's extra shares.
 type fencing struct {
-	write platform.Write
+	write kvstore.Write
 	lost  bool // an answer was lost; a later refusal does not settle the write
 }
 
@@ -48,7 +48,7 @@
 }
 
 // Observe takes the record of a domain that was read from the store.
-func (o *DomainObserver) Observe(now time.Time, domain string, entry platform.Entry) error {
+func (o *DomainObserver) Observe(now time.Time, domain string, entry kvstore.Entry) error {
 	if !entry.Exists() || entry.Revision <= o.records[domain].revision {
 		return nil
 	}
@@ -104,7 +104,7 @@
 }
 
 // Fence returns the write that ends the extra shares of an expired domain.
-func (o *DomainObserver) Fence(domain, operation string) (platform.Write, bool) {
+func (o *DomainObserver) Fence(domain, operation string) (kvstore.Write, bool) {
 	if f, ok := o.fencing[domain]; ok {
 		return f.write, true
 	}
@@ -114,23 +114,23 @@
 	next.Operation = operation
 	value, err := next.Encode()
 	if err != nil {
-		return platform.Write{}, false
+		return kvstore.Write{}, false
 	}
-	write := platform.Write{Key: DomainKey(domain), Value: value, Expected: r.revision}
+	write := kvstore.Write{Key: DomainKey(domain), Value: value, Expected: r.revision}
 	o.fencing[domain] = &fencing{write: write}
 	return write, true
 }
 
 // Finish takes the outcome of a write that Fence returned.
-func (o *DomainObserver) Finish(now time.Time, domain string, entry platform.Entry, err error) error {
-	if err == nil || platform.IsKind(err, platform.KindConflict) {
+func (o *DomainObserver) Finish(now time.Time, domain string, entry kvstore.Entry, err error) error {
+	if err == nil || kvstore.IsKind(err, kvstore.KindConflict) {
 		return o.Observe(now, domain, entry)
 	}
 	f, ok := o.fencing[domain]
 	if !ok {
 		return nil
 	}
-	f.lost = f.lost || platform.IsKind(err, platform.KindUnknownOutcome)
+	f.lost = f.lost || kvstore.IsKind(err, kvstore.KindUnknownOutcome)
 	if !f.lost {
 		delete(o.fencing, domain)
 	}
--- a/internal/allotment/domainrecord.go
+++ b/internal/allotment/domainrecord.go
@@ -9,7 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // DomainKey returns the store key of a failure domain's record.
@@ -67,7 +67,7 @@
 	term     time.Duration
 	loaded   bool
 	record   DomainRecord
-	revision platform.Revision
+	revision kvstore.Revision
 	until    time.Time
 	pending  *pendingRecord
 	stale    bool // a newer leader renewed the record
@@ -78,7 +78,7 @@
 type pendingRecord struct {
 	record DomainRecord
 	sent   time.Time
-	write  platform.Write
+	write  kvstore.Write
 	known  bool // the record that it replaces says which processes hold shares
 	former []HolderProcess
 	lost   bool // an answer was lost; a later refusal does not settle the write
@@ -134,7 +134,7 @@
 
 // Observe takes an entry that was read from the store. It recognises an own write
 // whose answer was lost.
-func (t *DomainTerm) Observe(entry platform.Entry) error {
+func (t *DomainTerm) Observe(entry kvstore.Entry) error {
 	if t.loaded && entry.Revision <= t.revision {
 		return nil
 	}
@@ -163,18 +163,18 @@
 }
 
 // Renew returns the next write of the record. Leader is the host that leads.
-func (t *DomainTerm) Renew(now time.Time, leader host.ID, peers []string, operation string) (platform.Write, bool) {
+func (t *DomainTerm) Renew(now time.Time, leader host.ID, peers []string, operation string) (kvstore.Write, bool) {
 	return t.write(now, DomainRecord{Operation: operation, Peers: slices.Clone(peers), Leader: leader})
 }
 
 // HandOver returns the last write of a leader that gives out nothing more.
-func (t *DomainTerm) HandOver(now time.Time, operation string, holders []HolderProcess) (platform.Write, bool) {
+func (t *DomainTerm) HandOver(now time.Time, operation string, holders []HolderProcess) (kvstore.Write, bool) {
 	return t.write(now, DomainRecord{Operation: operation, Peers: t.Peers(), HandedOver: true, Holders: holders})
 }
 
-func (t *DomainTerm) write(now time.Time, next DomainRecord) (platform.Write, bool) {
+func (t *DomainTerm) write(now time.Time, next DomainRecord) (kvstore.Write, bool) {
 	if !t.loaded || t.stale {
-		return platform.Write{}, false
+		return kvstore.Write{}, false
 	}
 	if t.pending != nil {
 		return t.pending.write, true
@@ -184,13 +184,13 @@
 	next.Generation = t.record.Generation
 	value, err := next.Encode()
 	if err != nil {
-		return platform.Write{}, false
+		return kvstore.Write{}, false
 	}
 	handedOver := t.record.HandedOver && t.record.Epoch < t.epoch
 	t.pending = &pendingRecord{
 		record: next,
 		sent:   now,
-		write:  platform.Write{Key: DomainKey(t.domain), Value: value, Expected: t.revision},
+		write:  kvstore.Write{Key: DomainKey(t.domain), Value: value, Expected: t.revision},
 		known:  t.revision == 0 || handedOver,
 		former: t.record.Holders,
 	}
@@ -198,14 +198,14 @@
 }
 
 // Finish takes the outcome of a write that Renew returned.
-func (t *DomainTerm) Finish(entry platform.Entry, err error) error {
-	if err == nil || platform.IsKind(err, platform.KindConflict) {
+func (t *DomainTerm) Finish(entry kvstore.Entry, err error) error {
+	if err == nil || kvstore.IsKind(err, kvstore.KindConflict) {
 		return t.Observe(entry)
 	}
 	if t.pending == nil {
 		return nil
 	}
-	t.pending.lost = t.pending.lost || platform.IsKind(err, platform.KindUnknownOutcome)
+	t.pending.lost = t.pending.lost || kvstore.IsKind(err, kvstore.KindUnknownOutcome)
 	if !t.pending.lost {
 		t.pending = nil
 	}
--- a/internal/allotment/fleet_model_test.go
+++ b/internal/allotment/fleet_model_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 const (
@@ -24,8 +24,8 @@
 // sequence of leaders, that share one client account through the store.
 type fleetModel struct {
 	base     *model // clocks and the message queue
-	store    map[string][]platform.Entry
-	revision platform.Revision
+	store    map[string][]kvstore.Entry
+	revision kvstore.Revision
 	down     bool
 	cut      [fleetDomains]bool
 	domains  [fleetDomains]*fleetDomain
@@ -59,7 +59,7 @@
 func newFleetModel(broken rules) *fleetModel {
 	m := &fleetModel{
 		base:   &model{rules: broken, now: modelEpoch, hosts: 1},
-		store:  map[string][]platform.Entry{},
+		store:  map[string][]kvstore.Entry{},
 		wholes: []Share{{}, {Rate: 30, Burst: 12}},
 		oracle: &oracle{},
 	}
@@ -107,21 +107,21 @@
 }
 
 // get reads an entry; lag says how many versions the answer is old.
-func (m *fleetModel) get(key string, lag int) platform.Entry {
+func (m *fleetModel) get(key string, lag int) kvstore.Entry {
 	versions := m.store[key]
 	if len(versions) == 0 {
-		return platform.Entry{Key: key}
+		return kvstore.Entry{Key: key}
 	}
 	return versions[max(len(versions)-1-lag, 0)]
 }
 
-func (m *fleetModel) swap(w platform.Write) (platform.Entry, error) {
+func (m *fleetModel) swap(w kvstore.Write) (kvstore.Entry, error) {
 	current := m.get(w.Key, 0)
 	if current.Revision != w.Expected {
-		return current, &platform.Error{Kind: platform.KindConflict}
+		return current, &kvstore.Error{Kind: kvstore.KindConflict}
 	}
 	m.revision++
-	entry := platform.Entry{Key: w.Key, Value: w.Value, Revision: m.revision}
+	entry := kvstore.Entry{Key: w.Key, Value: w.Value, Revision: m.revision}
 	m.store[w.Key] = append(m.store[w.Key], entry)
 	m.noteInForce(w.Key)
 	return entry, nil
@@ -144,19 +144,19 @@
 
 // write performs a write with the given fate: it succeeds, its answer is lost, it
 // is lost, or it arrives much later.
-func (m *fleetModel) write(l *fleetLeader, w platform.Write, fate int, finish func(platform.Entry, error)) {
-	unknown := &platform.Error{Kind: platform.KindUnknownOutcome}
+func (m *fleetModel) write(l *fleetLeader, w kvstore.Write, fate int, finish func(kvstore.Entry, error)) {
+	unknown := &kvstore.Error{Kind: kvstore.KindUnknownOutcome}
 	switch {
 	case m.down:
-		finish(platform.Entry{}, &platform.Error{Kind: platform.KindUnavailable})
+		finish(kvstore.Entry{}, &kvstore.Error{Kind: kvstore.KindUnavailable})
 	case m.cut[l.domain.index] || fate == 1:
-		finish(platform.Entry{}, unknown)
+		finish(kvstore.Entry{}, unknown)
 	case fate == 2:
 		_, _ = m.swap(w)
-		finish(platform.Entry{}, unknown)
+		finish(kvstore.Entry{}, unknown)
 	case fate == 3:
 		m.base.send(func() { _, _ = m.swap(w) })
-		finish(platform.Entry{}, unknown)
+		finish(kvstore.Entry{}, unknown)
 	default:
 		finish(m.swap(w))
 	}
@@ -187,7 +187,7 @@
 		}
 	}
 	if w, ok := l.term.Renew(m.local(l), l.domain.host.id.ID, peers, m.operation()); ok {
-		m.write(l, w, fate, func(e platform.Entry, err error) { _ = l.term.Finish(e, err) })
+		m.write(l, w, fate, func(e kvstore.Entry, err error) { _ = l.term.Finish(e, err) })
 	}
 }
 
@@ -230,7 +230,7 @@
 	w, ok := l.view.Plan(m.input(l), m.operation())
 	m.adopt(l)
 	if ok {
-		m.write(l, w, fate, func(e platform.Entry, err error) { _ = l.view.Finish(e, err) })
+		m.write(l, w, fate, func(e kvstore.Entry, err error) { _ = l.view.Finish(e, err) })
 		m.adopt(l)
 	}
 }
@@ -261,7 +261,7 @@
 	}
 	for _, domain := range l.observer.Expired(m.local(l)) {
 		if w, ok := l.observer.Fence(domain, m.operation()); ok {
-			m.write(l, w, fate, func(e platform.Entry, err error) {
+			m.write(l, w, fate, func(e kvstore.Entry, err error) {
 				_ = l.observer.Finish(m.local(l), domain, e, err)
 			})
 		}
--- a/internal/allotment/fleetview.go
+++ b/internal/allotment/fleetview.go
@@ -1,7 +1,7 @@
 package allotment
 
 import (
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // FleetView is one document as the leader of a domain knows it, with the write
@@ -10,7 +10,7 @@
 	domain   string
 	index    int
 	document FleetDocument
-	revision platform.Revision
+	revision kvstore.Revision
 	loaded   bool
 	pending  *pendingDocument
 	caps     map[string]Share
@@ -19,7 +19,7 @@
 
 type pendingDocument struct {
 	document FleetDocument
-	write    platform.Write
+	write    kvstore.Write
 	lost     bool // an answer was lost; a later refusal does not settle the write
 }
 
@@ -39,7 +39,7 @@
 
 // Observe takes an entry that was read from the store. Older ones have no effect.
 // It settles a write whose outcome was unknown if the document changed since.
-func (v *FleetView) Observe(entry platform.Entry) error {
+func (v *FleetView) Observe(entry kvstore.Entry) error {
 	if v.loaded && entry.Revision <= v.revision {
 		return nil
 	}
@@ -54,35 +54,35 @@
 
 // Plan decides the next write. It returns false if there is none to send now.
 // Operation names the write. An unsettled write is returned again unchanged.
-func (v *FleetView) Plan(in FleetInput, operation string) (platform.Write, bool) {
+func (v *FleetView) Plan(in FleetInput, operation string) (kvstore.Write, bool) {
 	if v.pending != nil {
 		return v.pending.write, true
 	}
 	plan := v.document.Plan(in)
 	v.caps = plan.Caps
 	if !plan.Changed || plan.Stale {
-		return platform.Write{}, false
+		return kvstore.Write{}, false
 	}
 	plan.Document.Operation = operation
 	value, err := plan.Document.Encode()
 	if err != nil {
-		return platform.Write{}, false
+		return kvstore.Write{}, false
 	}
-	write := platform.Write{Key: v.Key(), Value: value, Expected: v.revision}
+	write := kvstore.Write{Key: v.Key(), Value: value, Expected: v.revision}
 	v.pending = &pendingDocument{document: plan.Document, write: write}
 	return write, true
 }
 
 // Finish takes the outcome of a write that Plan returned. Entry is the one that
 // the store returned.
-func (v *FleetView) Finish(entry platform.Entry, err error) error {
-	if err == nil || platform.IsKind(err, platform.KindConflict) {
+func (v *FleetView) Finish(entry kvstore.Entry, err error) error {
+	if err == nil || kvstore.IsKind(err, kvstore.KindConflict) {
 		return v.Observe(entry)
 	}
 	if v.pending == nil {
 		return nil
 	}
-	v.pending.lost = v.pending.lost || platform.IsKind(err, platform.KindUnknownOutcome)
+	v.pending.lost = v.pending.lost || kvstore.IsKind(err, kvstore.KindUnknownOutcome)
 	if !v.pending.lost || v.rules.ignoreLostWrite {
 		v.pending = nil
 	}
--- a/internal/allotment/leader/keeper.go
+++ b/internal/allotment/leader/keeper.go
@@ -8,7 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/allotment"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 const (
@@ -45,7 +45,7 @@
 }
 
 // readAll reads every document and record and returns the newest revision seen.
-func (k *keeper) readAll(ctx context.Context) (platform.Revision, bool) {
+func (k *keeper) readAll(ctx context.Context) (kvstore.Revision, bool) {
 	call, cancel := context.WithTimeout(ctx, k.leader.options.Timing.StoreCall)
 	defer cancel()
 	entries, err := k.leader.options.Store.List(call, allotment.StorePrefix)
@@ -53,7 +53,7 @@
 		k.leader.failed("list", err)
 		return 0, false
 	}
-	var newest platform.Revision
+	var newest kvstore.Revision
 	k.leader.mu.Lock()
 	defer k.leader.mu.Unlock()
 	missing := k.reign.keys()
@@ -63,14 +63,14 @@
 		k.observe(entry)
 	}
 	for key := range missing {
-		k.observe(platform.Entry{Key: key})
+		k.observe(kvstore.Entry{Key: key})
 	}
 	k.reign.read = true
 	return newest, true
 }
 
 // observe takes an entry. The caller holds the Leader's mutex.
-func (k *keeper) observe(entry platform.Entry) {
+func (k *keeper) observe(entry kvstore.Entry) {
 	if err := k.reign.observe(k.leader.options.Now(), entry); err != nil {
 		k.leader.stats.decodeFailures.Inc(1)
 		level.Error(k.leader.options.Logger).Log("msg", "allotment not readable", "key", entry.Key, "err", err)
@@ -78,7 +78,7 @@
 }
 
 // follow watches for changes until a call fails or a complete read is due.
-func (k *keeper) follow(ctx context.Context, after platform.Revision) {
+func (k *keeper) follow(ctx context.Context, after kvstore.Revision) {
 	due := time.Now().Add(k.leader.options.Timing.ReadEvery/2 + rand.N(k.leader.options.Timing.ReadEvery))
 	for ctx.Err() == nil && time.Now().Before(due) {
 		wait := min(watchWait, time.Until(due))
@@ -148,7 +148,7 @@
 func (k *keeper) fence(ctx context.Context) bool {
 	l := k.leader
 	l.mu.Lock()
-	var writes map[string]platform.Write
+	var writes map[string]kvstore.Write
 	if k.reign.ready() {
 		writes = k.reign.fences(l.options.Now(), l.operation)
 	}
@@ -173,7 +173,7 @@
 	l.mu.Lock()
 	now := l.options.Now()
 	snapshot := l.options.Snapshot()
-	var writes map[int]platform.Write
+	var writes map[int]kvstore.Write
 	if snapshot != nil && k.reign.ready() && !k.reign.closed && !now.Before(k.planAt) {
 		writes = k.reign.plan(now, snapshot, l.operation)
 		k.reign.divide(now, snapshot)
@@ -194,11 +194,11 @@
 }
 
 // swap performs one write with a bounded wait.
-func (k *keeper) swap(ctx context.Context, write platform.Write) (platform.Entry, error) {
+func (k *keeper) swap(ctx context.Context, write kvstore.Write) (kvstore.Entry, error) {
 	call, cancel := context.WithTimeout(ctx, k.leader.options.Timing.StoreCall)
 	defer cancel()
 	entry, err := k.leader.options.Store.CompareAndSwap(call, write)
-	if err != nil && !platform.IsKind(err, platform.KindConflict) {
+	if err != nil && !kvstore.IsKind(err, kvstore.KindConflict) {
 		k.leader.failed("compare-and-swap", err)
 	}
 	return entry, err
@@ -213,7 +213,7 @@
 }
 
 // reached reports whether the store answered.
-func reached(err error) bool { return err == nil || platform.IsKind(err, platform.KindConflict) }
+func reached(err error) bool { return err == nil || kvstore.IsKind(err, kvstore.KindConflict) }
 
 func (l *Leader) failed(call string, err error) {
 	l.stats.storeFailures.Inc(1)
--- a/internal/allotment/leader/leader.go
+++ b/internal/allotment/leader/leader.go
@@ -18,7 +18,7 @@
 	"peridotrail/internal/duty"
 	"peridotrail/internal/fleet"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Leadership tells whether this process leads its failure domain.
@@ -62,7 +62,7 @@
 // Options configures a Leader.
 type Options struct {
 	Self          host.Identity
-	Store         platform.Store
+	Store         kvstore.Store
 	View          host.View
 	Caller        fleet.Caller
 	Registry      fleet.Registry
@@ -245,18 +245,18 @@
 	}
 }
 
-func (l *Leader) handOver() (platform.Write, bool) {
+func (l *Leader) handOver() (kvstore.Write, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.reign
 	if r == nil || !r.ready() {
-		return platform.Write{}, false
+		return kvstore.Write{}, false
 	}
 	now := l.options.Now()
 	r.closed = true
 	holders, ok := r.hosts.HandOver(now)
 	if !ok {
-		return platform.Write{}, false
+		return kvstore.Write{}, false
 	}
 	return r.term.HandOver(now, l.operation(), holders)
 }
--- a/internal/allotment/leader/reign.go
+++ b/internal/allotment/leader/reign.go
@@ -9,7 +9,7 @@
 	"peridotrail/internal/allotment"
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // reign is the state of one epoch of the leadership. The Leader's mutex guards it.
@@ -60,7 +60,7 @@
 func (r *reign) ready() bool { return r.read && r.term.Owned() }
 
 // observe takes an entry of the store.
-func (r *reign) observe(now time.Time, entry platform.Entry) error {
+func (r *reign) observe(now time.Time, entry kvstore.Entry) error {
 	if domain, ok := allotment.DomainOfKey(entry.Key); ok {
 		if domain == r.options.Self.FailureDomain {
 			return r.term.Observe(entry)
@@ -228,9 +228,9 @@
 const rebalanceFor = 3 * time.Second
 
 // plan returns the writes of documents that are due.
-func (r *reign) plan(now time.Time, snapshot *configuration.Snapshot, operation func() string) map[int]platform.Write {
+func (r *reign) plan(now time.Time, snapshot *configuration.Snapshot, operation func() string) map[int]kvstore.Write {
 	r.average(now, snapshot)
-	writes := map[int]platform.Write{}
+	writes := map[int]kvstore.Write{}
 	for i, view := range r.views {
 		if !view.Loaded() {
 			continue
@@ -251,8 +251,8 @@
 }
 
 // fences returns the writes that end extra shares of silent domains.
-func (r *reign) fences(now time.Time, operation func() string) map[string]platform.Write {
-	writes := map[string]platform.Write{}
+func (r *reign) fences(now time.Time, operation func() string) map[string]kvstore.Write {
+	writes := map[string]kvstore.Write{}
 	generations := r.observer.Generations()
 	for _, domain := range r.observer.Expired(now) {
 		if !r.hasExtra(domain, generations[domain]) {
--- a/internal/configuration/commit.go
+++ b/internal/configuration/commit.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 func randomOperation() OperationID { return OperationID(rand.Text()) }
@@ -46,7 +46,7 @@
 		return 0, r.conflict(ctx, base, current, encoded, c)
 	}
 	revision, err := r.commit(ctx, root{manifest: current, revision: expected}, floor, encoded)
-	if platform.IsKind(err, platform.KindConflict) || isMissing(err) {
+	if kvstore.IsKind(err, kvstore.KindConflict) || isMissing(err) {
 		latest, _, rootErr := r.Root(ctx)
 		if rootErr != nil {
 			return 0, rootErr
@@ -62,7 +62,7 @@
 // root is the root document with the store's revision of it.
 type root struct {
 	manifest *Manifest // nil if there is none
-	revision platform.Revision
+	revision kvstore.Revision
 }
 
 // commit writes the chunks and replaces the root. It returns a store error of
@@ -132,17 +132,17 @@
 }
 
 func (r *Repository) writeChunk(ctx context.Context, chunk Chunk) error {
-	write := platform.Write{Key: ChunkKey(chunk.Reference.Digest), Value: chunk.Data}
+	write := kvstore.Write{Key: ChunkKey(chunk.Reference.Digest), Value: chunk.Data}
 	if err := r.pace.Wait(ctx); err != nil {
-		return &platform.Error{Kind: platform.KindUnavailable, Op: "compareAndSwap", Key: write.Key, Err: err}
+		return &kvstore.Error{Kind: kvstore.KindUnavailable, Op: "compareAndSwap", Key: write.Key, Err: err}
 	}
 	return retry(ctx, func() error {
 		entry, err := r.config.Store.CompareAndSwap(ctx, write)
-		if platform.IsKind(err, platform.KindConflict) {
+		if kvstore.IsKind(err, kvstore.KindConflict) {
 			write.Expected = entry.Revision
 			entry, err = r.config.Store.CompareAndSwap(ctx, write)
 		}
-		if platform.IsKind(err, platform.KindConflict) {
+		if kvstore.IsKind(err, kvstore.KindConflict) {
 			write.Expected = entry.Revision
 			return errRace
 		}
@@ -153,7 +153,7 @@
 // swapRoot writes the root. After a lost answer it writes again with the same
 // expected revision, so that at most one of the attempts takes effect, and
 // recognises its own success by the operation ID.
-func (r *Repository) swapRoot(ctx context.Context, next *Manifest, expected platform.Revision) error {
+func (r *Repository) swapRoot(ctx context.Context, next *Manifest, expected kvstore.Revision) error {
 	value, err := next.Encode()
 	if err != nil {
 		return err
@@ -161,11 +161,11 @@
 	operation := next.History[0].ID
 	uncertain := false
 	err = retry(ctx, func() error {
-		_, err := r.config.Store.CompareAndSwap(ctx, platform.Write{Key: RootKey, Value: value, Expected: expected})
-		if platform.IsKind(err, platform.KindUnknownOutcome) {
+		_, err := r.config.Store.CompareAndSwap(ctx, kvstore.Write{Key: RootKey, Value: value, Expected: expected})
+		if kvstore.IsKind(err, kvstore.KindUnknownOutcome) {
 			uncertain = true
 		}
-		if !uncertain || !platform.IsKind(err, platform.KindConflict) {
+		if !uncertain || !kvstore.IsKind(err, kvstore.KindConflict) {
 			return err
 		}
 		latest, _, rootErr := r.Root(ctx)
--- a/internal/configuration/garbage.go
+++ b/internal/configuration/garbage.go
@@ -6,13 +6,13 @@
 
 	"github.com/go-faster/errors"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // storedChunk is a chunk with the store's revision of it.
 type storedChunk struct {
 	digest   Digest
-	revision platform.Revision
+	revision kvstore.Revision
 }
 
 // sweep lists the chunks of the store if the last search is old, to find those
@@ -62,7 +62,7 @@
 		if doomed[i].revision == 0 {
 			return nil
 		}
-		_, _ = r.config.Store.CompareAndSwap(ctx, platform.Write{
+		_, _ = r.config.Store.CompareAndSwap(ctx, kvstore.Write{
 			Key:      ChunkKey(doomed[i].digest),
 			Expected: doomed[i].revision,
 			Delete:   true,
--- a/internal/configuration/manifest.go
+++ b/internal/configuration/manifest.go
@@ -6,7 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Keys of the store that hold the configuration.
@@ -53,7 +53,7 @@
 // Error implements error.
 func (e *ManifestError) Error() string {
 	if e.Err == nil {
-		return fmt.Sprintf("manifest of %d bytes exceeds %d bytes", e.Size, platform.MaxValueSize)
+		return fmt.Sprintf("manifest of %d bytes exceeds %d bytes", e.Size, kvstore.MaxValueSize)
 	}
 	return fmt.Sprintf("manifest of %d bytes: %v", e.Size, e.Err)
 }
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, &ManifestError{Err: err}
 	}
-	if len(data) > platform.MaxValueSize {
+	if len(data) > kvstore.MaxValueSize {
 		return nil, &ManifestError{Size: len(data)}
 	}
 	return data, nil
--- a/internal/configuration/repository.go
+++ b/internal/configuration/repository.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/time/rate"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // ConflictError reports that the revision in the store is not the one on which
@@ -52,7 +52,7 @@
 
 // RepositoryConfig holds the dependencies of a Repository.
 type RepositoryConfig struct {
-	Store platform.Store
+	Store kvstore.Store
 	Now   func() time.Time // wall clock; time.Now if nil
 	// NewOperation returns a unique ID for a commit; random if nil.
 	NewOperation  func() OperationID
@@ -98,8 +98,8 @@
 
 // Root returns the root document with the store's revision of it. The manifest
 // is nil if there is none. Transient failures are retried until ctx ends.
-func (r *Repository) Root(ctx context.Context) (*Manifest, platform.Revision, error) {
-	var entry platform.Entry
+func (r *Repository) Root(ctx context.Context) (*Manifest, kvstore.Revision, error) {
+	var entry kvstore.Entry
 	err := retry(ctx, func() (err error) {
 		entry, err = r.config.Store.Get(ctx, RootKey)
 		return err
@@ -115,9 +115,9 @@
 // does not hold it, which means that a newer root has replaced the one read.
 func (r *Repository) Chunk(ctx context.Context, ref ChunkReference) ([]byte, error) {
 	if err := r.pace.Wait(ctx); err != nil {
-		return nil, &platform.Error{Kind: platform.KindUnavailable, Op: "get", Key: ChunkKey(ref.Digest), Err: err}
+		return nil, &kvstore.Error{Kind: kvstore.KindUnavailable, Op: "get", Key: ChunkKey(ref.Digest), Err: err}
 	}
-	var entry platform.Entry
+	var entry kvstore.Entry
 	err := retry(ctx, func() (err error) {
 		entry, err = r.config.Store.Get(ctx, ChunkKey(ref.Digest))
 		return err
--- a/internal/configuration/repository_test.go
+++ b/internal/configuration/repository_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 	"peridotrail/internal/standin/store"
 )
 
@@ -76,18 +76,18 @@
 
 // rootSwapHook runs once after the first swap of the root, then loses its answer.
 type rootSwapHook struct {
-	platform.Store
+	kvstore.Store
 	once  sync.Once
 	after func()
 }
 
-func (h *rootSwapHook) CompareAndSwap(ctx context.Context, w platform.Write) (platform.Entry, error) {
+func (h *rootSwapHook) CompareAndSwap(ctx context.Context, w kvstore.Write) (kvstore.Entry, error) {
 	entry, err := h.Store.CompareAndSwap(ctx, w)
 	if w.Key == RootKey {
 		h.once.Do(func() {
 			h.after()
-			entry = platform.Entry{}
-			err = &platform.Error{Kind: platform.KindUnknownOutcome, Op: "compareAndSwap", Key: w.Key}
+			entry = kvstore.Entry{}
+			err = &kvstore.Error{Kind: kvstore.KindUnknownOutcome, Op: "compareAndSwap", Key: w.Key}
 		})
 	}
 	return entry, err
@@ -274,12 +274,12 @@
 
 // deleteHook runs once before the first deletion.
 type deleteHook struct {
-	platform.Store
+	kvstore.Store
 	once   sync.Once
 	before func()
 }
 
-func (h *deleteHook) CompareAndSwap(ctx context.Context, w platform.Write) (platform.Entry, error) {
+func (h *deleteHook) CompareAndSwap(ctx context.Context, w kvstore.Write) (kvstore.Entry, error) {
 	if w.Delete {
 		h.once.Do(h.before)
 	}
--- a/internal/configuration/retry.go
+++ b/internal/configuration/retry.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Pauses between attempts at the store.
@@ -40,8 +40,8 @@
 
 func isTransient(err error) bool {
 	return err == errRace ||
-		platform.IsKind(err, platform.KindUnavailable) ||
-		platform.IsKind(err, platform.KindUnknownOutcome)
+		kvstore.IsKind(err, kvstore.KindUnavailable) ||
+		kvstore.IsKind(err, kvstore.KindUnknownOutcome)
 }
 
 // jitter returns a duration between half of d and d.
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -10,14 +10,14 @@
 
 	"github.com/urfave/cli/v3"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // App holds what the commands depend on.
 type App struct {
 	Stdout    io.Writer
 	Stderr    io.Writer
-	OpenStore func(endpoints []string) platform.Store
+	OpenStore func(endpoints []string) kvstore.Store
 	HTTP      *http.Client
 	Now       func() time.Time
 	Pause     time.Duration // between looks of commands that wait
@@ -124,7 +124,7 @@
 }
 
 // store opens the store that the flags name.
-func (a *App) store(c *cli.Command) (platform.Store, error) {
+func (a *App) store(c *cli.Command) (kvstore.Store, error) {
 	endpoints := c.StringSlice(flagStore)
 	if len(endpoints) == 0 {
 		return nil, &UsageError{Detail: "name the store with --store or PERIDOTRAIL_STORE"}
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -8,7 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"peridotrail/internal/configuration"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 func (a *App) checkCommand() *cli.Command {
@@ -160,7 +160,7 @@
 // client blocks for the first time takes about 11 s.
 const chunksPerSecond = 200
 
-func repositoryConfig(store platform.Store) configuration.RepositoryConfig {
+func repositoryConfig(store kvstore.Store) configuration.RepositoryConfig {
 	return configuration.RepositoryConfig{Store: store, ChunksPerSecond: chunksPerSecond}
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -19,7 +19,7 @@
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/distribution"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 	"peridotrail/internal/servicelevel"
 	"peridotrail/internal/standin/store"
 )
@@ -62,7 +62,7 @@
 	var out, errOut bytes.Buffer
 	app := &App{
 		Stdout: &out, Stderr: &errOut, HTTP: http.DefaultClient, Now: time.Now, Pause: 10 * time.Millisecond,
-		OpenStore: func([]string) platform.Store { return b.store },
+		OpenStore: func([]string) kvstore.Store { return b.store },
 	}
 	got := app.Run(b.t.Context(), append([]string{"peridotrailctl", "--store", "http://store"}, args...))
 	require.Equal(b.t, code, got, "%v\n%s%s", args, out.String(), errOut.String())
@@ -82,7 +82,7 @@
 	key := distribution.ConfirmationKey(domain)
 	old, err := b.store.Get(b.t.Context(), key)
 	require.NoError(b.t, err)
-	_, err = b.store.CompareAndSwap(b.t.Context(), platform.Write{Key: key, Value: value, Expected: old.Revision})
+	_, err = b.store.CompareAndSwap(b.t.Context(), kvstore.Write{Key: key, Value: value, Expected: old.Revision})
 	require.NoError(b.t, err)
 }
 
@@ -196,7 +196,7 @@
 
 func TestWaitNamesHostsThatHaveNotConfirmed(t *testing.T) {
 	b := newBench(t)
-	b.store.SetHosts([]platform.HostRecord{
+	b.store.SetHosts([]kvstore.HostRecord{
 		{Name: "e1", FailureDomain: "east"}, {Name: "e2", FailureDomain: "east"},
 		{Name: "w1", FailureDomain: "west"}, {Name: "w2", FailureDomain: "west", Leaving: true},
 	})
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -12,7 +12,7 @@
 
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Exit codes.
@@ -161,7 +161,7 @@
 		conflict    *configuration.ConflictError
 		outcome     *configuration.OutcomeError
 		unconfirmed *UnconfirmedError
-		store       *platform.Error
+		store       *kvstore.Error
 		hostFailure *HostError
 		different   *DifferentError
 	)
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -10,12 +10,12 @@
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/distribution"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // waiter waits for the confirmations of a revision.
 type waiter struct {
-	store platform.Store
+	store kvstore.Store
 	pause time.Duration
 	now   func() time.Time
 }
@@ -57,7 +57,7 @@
 	return pendingDomains(revision, c, readConfirmations(entries), hosts), nil
 }
 
-func readConfirmations(entries []platform.Entry) map[string]distribution.Confirmation {
+func readConfirmations(entries []kvstore.Entry) map[string]distribution.Confirmation {
 	confirmations := make(map[string]distribution.Confirmation, len(entries))
 	for _, entry := range entries {
 		var confirmation distribution.Confirmation
@@ -72,7 +72,7 @@
 
 // pendingDomains lists the failure domains that have hosts in the platform's
 // list, are not declared dead and have not confirmed revision.
-func pendingDomains(revision configuration.Revision, c *configuration.Configuration, confirmations map[string]distribution.Confirmation, hosts []platform.HostRecord) []PendingDomain {
+func pendingDomains(revision configuration.Revision, c *configuration.Configuration, confirmations map[string]distribution.Confirmation, hosts []kvstore.HostRecord) []PendingDomain {
 	listed := map[string][]host.ID{}
 	for _, record := range hosts {
 		if !record.Leaving {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,14 +14,14 @@
 	"peridotrail/internal/fleet"
 	"peridotrail/internal/fleet/keys"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 	"peridotrail/internal/settings"
 )
 
 // Options configures a Host.
 type Options struct {
 	Settings settings.Settings
-	Store    platform.Store
+	Store    kvstore.Store
 	Keys     keys.Source
 	Logger   log.Logger       // nil logs nothing
 	Metrics  metrics.Registry // nil counts in a private registry
--- a/internal/distribution/bench_test.go
+++ b/internal/distribution/bench_test.go
@@ -6,7 +6,7 @@
 
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/fleet"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // indexChunksAtSize is the number of index chunks of 2.3 million client blocks.
@@ -25,7 +25,7 @@
 func BenchmarkMessages(b *testing.B) {
 	versions := make([]Version, 10)
 	for i := range versions {
-		versions[i] = Version{Key: StatePrefix + "shifts/some-shift", Revision: 100_000 + platform.Revision(i)}
+		versions[i] = Version{Key: StatePrefix + "shifts/some-shift", Revision: 100_000 + kvstore.Revision(i)}
 	}
 	manifest := configuration.Manifest{Revision: 1000, Index: make([]configuration.ChunkReference, indexChunksAtSize)}
 	for i := range manifest.Index {
--- a/internal/distribution/cluster_test.go
+++ b/internal/distribution/cluster_test.go
@@ -15,7 +15,7 @@
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/fleet/fleettest"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 	"peridotrail/internal/standin/store"
 )
 
@@ -190,10 +190,10 @@
 	return confirmed
 }
 
-func (c *cluster) write(key, value string) platform.Entry {
+func (c *cluster) write(key, value string) kvstore.Entry {
 	old, err := c.store.Get(c.t.Context(), key)
 	require.NoError(c.t, err)
-	entry, err := c.store.CompareAndSwap(c.t.Context(), platform.Write{Key: key, Value: []byte(value), Expected: old.Revision})
+	entry, err := c.store.CompareAndSwap(c.t.Context(), kvstore.Write{Key: key, Value: []byte(value), Expected: old.Revision})
 	require.NoError(c.t, err)
 	return entry
 }
--- a/internal/distribution/confirm.go
+++ b/internal/distribution/confirm.go
@@ -10,7 +10,7 @@
 
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // ConfirmationPrefix begins the keys of all confirmations.
@@ -76,7 +76,7 @@
 
 // runConfirm writes confirmations to the store.
 func (d *Distributor) runConfirm(ctx context.Context) error {
-	var expected platform.Revision
+	var expected kvstore.Revision
 	for {
 		c, err := d.confirmations.Pop(ctx)
 		if err != nil {
@@ -89,7 +89,7 @@
 // writeConfirmation writes c, or a later confirmation that comes up meanwhile,
 // until it succeeds, a higher epoch is found or this host no longer leads. It
 // returns the store's revision of the key.
-func (d *Distributor) writeConfirmation(ctx context.Context, c Confirmation, expected platform.Revision) platform.Revision {
+func (d *Distributor) writeConfirmation(ctx context.Context, c Confirmation, expected kvstore.Revision) kvstore.Revision {
 	for failures := 0; ctx.Err() == nil; failures++ {
 		if later, ok := d.confirmations.TryPop(); ok {
 			c = later
@@ -101,7 +101,7 @@
 		if err == nil {
 			return entry.Revision
 		}
-		if platform.IsKind(err, platform.KindConflict) {
+		if kvstore.IsKind(err, kvstore.KindConflict) {
 			expected = entry.Revision
 			if supersedes(entry, c) {
 				return expected
@@ -115,14 +115,14 @@
 	return expected
 }
 
-func (d *Distributor) swapConfirmation(ctx context.Context, c Confirmation, expected platform.Revision) (platform.Entry, error) {
+func (d *Distributor) swapConfirmation(ctx context.Context, c Confirmation, expected kvstore.Revision) (kvstore.Entry, error) {
 	value, err := json.Marshal(c)
 	if err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, d.config.StoreTimeout)
 	defer cancel()
-	return d.config.Store.CompareAndSwap(ctx, platform.Write{
+	return d.config.Store.CompareAndSwap(ctx, kvstore.Write{
 		Key:      ConfirmationKey(d.config.Self.FailureDomain),
 		Value:    value,
 		Expected: expected,
@@ -130,7 +130,7 @@
 }
 
 // supersedes reports whether a stored confirmation makes c void or is equal to it.
-func supersedes(entry platform.Entry, c Confirmation) bool {
+func supersedes(entry kvstore.Entry, c Confirmation) bool {
 	var stored Confirmation
 	if json.Unmarshal(entry.Value, &stored) != nil {
 		return false
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -21,7 +21,7 @@
 	"peridotrail/internal/duty"
 	"peridotrail/internal/fleet"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Leadership tells whether this host leads its failure domain.
@@ -34,7 +34,7 @@
 // their defaults.
 type Config struct {
 	Self       host.Identity
-	Store      platform.Store
+	Store      kvstore.Store
 	Caller     fleet.Caller
 	Registry   fleet.Registry
 	View       host.View
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -11,7 +11,7 @@
 	"peridotrail/internal/fleet/fleettest"
 	"peridotrail/internal/host"
 	"peridotrail/internal/invariant"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // inForceLimit is the time in which an accepted configuration must be in force.
@@ -232,7 +232,7 @@
 
 		root, err := c.store.Get(t.Context(), configuration.RootKey)
 		require.NoError(t, err)
-		_, err = c.store.CompareAndSwap(t.Context(), platform.Write{Key: root.Key, Expected: root.Revision, Delete: true})
+		_, err = c.store.CompareAndSwap(t.Context(), kvstore.Write{Key: root.Key, Expected: root.Revision, Delete: true})
 		require.NoError(t, err)
 		c.commit(nil, "other")
 		time.Sleep(2 * inForceLimit)
--- a/internal/distribution/messages.go
+++ b/internal/distribution/messages.go
@@ -5,7 +5,7 @@
 
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/fleet"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Kinds of messages between hosts.
@@ -17,15 +17,15 @@
 
 // Version is the store's revision of one state document.
 type Version struct {
-	Key      string            `cbor:"1,keyasint"`
-	Revision platform.Revision `cbor:"2,keyasint"`
+	Key      string           `cbor:"1,keyasint"`
+	Revision kvstore.Revision `cbor:"2,keyasint"`
 }
 
 // Document is one state document. A higher revision replaces a lower one.
 type Document struct {
-	Key      string            `cbor:"1,keyasint"`
-	Revision platform.Revision `cbor:"2,keyasint"`
-	Value    []byte            `cbor:"3,keyasint"`
+	Key      string           `cbor:"1,keyasint"`
+	Revision kvstore.Revision `cbor:"2,keyasint"`
+	Value    []byte           `cbor:"3,keyasint"`
 }
 
 // Offer carries a newer configuration and newer state documents.
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -7,7 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/configuration"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Pauses of a leader between attempts at the store.
@@ -20,17 +20,17 @@
 // follower reads one prefix of the store while this host is the leader.
 type follower struct {
 	prefix string
-	list   func(ctx context.Context) ([]platform.Entry, error)
-	take   func(ctx context.Context, entries []platform.Entry) error
+	list   func(ctx context.Context) ([]kvstore.Entry, error)
+	take   func(ctx context.Context, entries []kvstore.Entry) error
 }
 
 // watchRoot follows the root document.
 func (d *Distributor) watchRoot(ctx context.Context) error {
 	return d.follow(ctx, follower{
 		prefix: configuration.RootKey,
-		list: func(ctx context.Context) ([]platform.Entry, error) {
+		list: func(ctx context.Context) ([]kvstore.Entry, error) {
 			entry, err := d.config.Store.Get(ctx, configuration.RootKey)
-			return []platform.Entry{entry}, err
+			return []kvstore.Entry{entry}, err
 		},
 		take: d.takeRoot,
 	})
@@ -40,7 +40,7 @@
 func (d *Distributor) watchState(ctx context.Context) error {
 	return d.follow(ctx, follower{
 		prefix: StatePrefix,
-		list: func(ctx context.Context) ([]platform.Entry, error) {
+		list: func(ctx context.Context) ([]kvstore.Entry, error) {
 			return d.config.Store.List(ctx, StatePrefix)
 		},
 		take: d.takeState,
@@ -104,7 +104,7 @@
 	return nil
 }
 
-func (d *Distributor) watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Entry, platform.Revision, error) {
+func (d *Distributor) watch(ctx context.Context, prefix string, after kvstore.Revision, wait time.Duration) ([]kvstore.Entry, kvstore.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+d.config.StoreTimeout)
 	defer cancel()
 	sent := time.Now()
@@ -121,14 +121,14 @@
 	return read(ctx)
 }
 
-func newest(entries []platform.Entry, floor platform.Revision) platform.Revision {
+func newest(entries []kvstore.Entry, floor kvstore.Revision) kvstore.Revision {
 	for _, entry := range entries {
 		floor = max(floor, entry.Revision)
 	}
 	return floor
 }
 
-func (d *Distributor) takeRoot(ctx context.Context, entries []platform.Entry) error {
+func (d *Distributor) takeRoot(ctx context.Context, entries []kvstore.Entry) error {
 	for _, entry := range entries {
 		if entry.Key != configuration.RootKey || !entry.Exists() {
 			continue
@@ -140,7 +140,7 @@
 	return nil
 }
 
-func (d *Distributor) takeState(_ context.Context, entries []platform.Entry) error {
+func (d *Distributor) takeState(_ context.Context, entries []kvstore.Entry) error {
 	documents := make([]Document, 0, len(entries))
 	for _, entry := range entries {
 		if entry.Exists() {
--- a/internal/platform/httpstore/call.go
+++ b/internal/kvstore/httpstore/call.go
@@ -10,7 +10,7 @@
 	"net/http/httptrace"
 	"time"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 const maxAnswerBytes = 64 << 20
@@ -24,8 +24,8 @@
 	timeout time.Duration
 }
 
-func (c call) failure(kind platform.ErrorKind, err error) error {
-	return &platform.Error{Kind: kind, Op: c.op, Key: c.key, Err: err}
+func (c call) failure(kind kvstore.ErrorKind, err error) error {
+	return &kvstore.Error{Kind: kind, Op: c.op, Key: c.key, Err: err}
 }
 
 // StatusError is an answer with an unexpected HTTP status.
@@ -66,7 +66,7 @@
 	defer cancel()
 	body, err := json.Marshal(k.body)
 	if err != nil {
-		return Response{}, k.failure(platform.KindInvalid, err)
+		return Response{}, k.failure(kvstore.KindInvalid, err)
 	}
 	index := c.current.Load()
 	connected := false
@@ -74,7 +74,7 @@
 	url := c.endpoints[int(index)%len(c.endpoints)] + k.path
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return Response{}, k.failure(platform.KindInvalid, err)
+		return Response{}, k.failure(kvstore.KindInvalid, err)
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(HeaderHost, c.host)
@@ -92,9 +92,9 @@
 	response, err := c.http.Do(request)
 	if err != nil {
 		if !*connected {
-			return Response{}, k.failure(platform.KindUnavailable, err)
+			return Response{}, k.failure(kvstore.KindUnavailable, err)
 		}
-		return Response{}, k.failure(platform.KindUnknownOutcome, err)
+		return Response{}, k.failure(kvstore.KindUnknownOutcome, err)
 	}
 	defer response.Body.Close()
 	var answer Response
@@ -106,34 +106,34 @@
 	switch status {
 	case http.StatusOK, http.StatusConflict:
 		if decodeErr != nil {
-			return c.failure(platform.KindUnknownOutcome, decodeErr)
+			return c.failure(kvstore.KindUnknownOutcome, decodeErr)
 		}
 		if status == http.StatusConflict {
-			return c.failure(platform.KindConflict, nil)
+			return c.failure(kvstore.KindConflict, nil)
 		}
 		return nil
 	case http.StatusGone:
-		return c.failure(platform.KindLeaseExpired, nil)
+		return c.failure(kvstore.KindLeaseExpired, nil)
 	case http.StatusBadRequest:
-		return c.failure(platform.KindInvalid, nil)
+		return c.failure(kvstore.KindInvalid, nil)
 	case http.StatusServiceUnavailable:
-		return c.failure(platform.KindUnavailable, &StatusError{status})
+		return c.failure(kvstore.KindUnavailable, &StatusError{status})
 	default:
-		return c.failure(platform.KindUnknownOutcome, &StatusError{status})
+		return c.failure(kvstore.KindUnknownOutcome, &StatusError{status})
 	}
 }
 
 func retryable(err error) bool {
-	return platform.IsKind(err, platform.KindUnavailable) || platform.IsKind(err, platform.KindUnknownOutcome)
+	return kvstore.IsKind(err, kvstore.KindUnavailable) || kvstore.IsKind(err, kvstore.KindUnknownOutcome)
 }
 
 // asRead maps an unknown outcome to unavailable: a read has no effect.
 func asRead(err error) error {
-	failure, ok := err.(*platform.Error)
-	if !ok || failure.Kind != platform.KindUnknownOutcome {
+	failure, ok := err.(*kvstore.Error)
+	if !ok || failure.Kind != kvstore.KindUnknownOutcome {
 		return err
 	}
-	return &platform.Error{Kind: platform.KindUnavailable, Op: failure.Op, Key: failure.Key, Err: failure.Err}
+	return &kvstore.Error{Kind: kvstore.KindUnavailable, Op: failure.Op, Key: failure.Key, Err: failure.Err}
 }
 
 // sleep waits for d and reports false if ctx ended first.
--- a/internal/platform/httpstore/httpstore.go
+++ b/internal/kvstore/httpstore/httpstore.go
@@ -1,4 +1,4 @@
-// Package httpstore is a platform.Store that talks JSON over HTTP.
+// Package httpstore is a kvstore.Store that talks JSON over HTTP.
 package httpstore
 
 import (
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 const (
@@ -17,7 +17,7 @@
 	idleConnections = 4
 )
 
-// Client is a platform.Store reached over HTTP. It is safe for concurrent use.
+// Client is a kvstore.Store reached over HTTP. It is safe for concurrent use.
 type Client struct {
 	endpoints []string // base URLs, used in turn
 	current   atomic.Uint32
@@ -29,7 +29,7 @@
 	budget    *retryBudget
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ kvstore.Store = (*Client)(nil)
 
 // Option changes a setting of a Client.
 type Option func(*Client)
@@ -68,51 +68,51 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements kvstore.Store.
+func (c *Client) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	answer, err := c.read(ctx, call{"get", key, PathGet, KeyRequest{key}, c.timeout})
 	return answer.Entry, err
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements kvstore.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]kvstore.Entry, error) {
 	answer, err := c.read(ctx, call{"list", prefix, PathList, KeyRequest{prefix}, c.timeout})
 	return answer.Entries, err
 }
 
-// CompareAndSwap implements platform.Store.
-func (c *Client) CompareAndSwap(ctx context.Context, w platform.Write) (platform.Entry, error) {
+// CompareAndSwap implements kvstore.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, w kvstore.Write) (kvstore.Entry, error) {
 	answer, err := c.write(ctx, call{"compare-and-swap", w.Key, PathCompareAndSwap, w, c.timeout})
 	return answer.Entry, err
 }
 
-// Grant implements platform.Store.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements kvstore.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
 	answer, err := c.write(ctx, call{"grant", "", PathGrant, LeaseRequest{TTL: ttl}, c.timeout})
 	return answer.Lease, err
 }
 
-// Renew implements platform.Store.
-func (c *Client) Renew(ctx context.Context, id platform.LeaseID) error {
+// Renew implements kvstore.Store.
+func (c *Client) Renew(ctx context.Context, id kvstore.LeaseID) error {
 	_, err := c.write(ctx, call{"renew", "", PathRenew, LeaseRequest{ID: id}, c.timeout})
 	return err
 }
 
-// Revoke implements platform.Store.
-func (c *Client) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements kvstore.Store.
+func (c *Client) Revoke(ctx context.Context, id kvstore.LeaseID) error {
 	_, err := c.write(ctx, call{"revoke", "", PathRevoke, LeaseRequest{ID: id}, c.timeout})
 	return err
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) ([]platform.Entry, platform.Revision, error) {
+// Watch implements kvstore.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after kvstore.Revision, wait time.Duration) ([]kvstore.Entry, kvstore.Revision, error) {
 	request := WatchRequest{Prefix: prefix, After: after, Wait: wait}
 	answer, err := c.read(ctx, call{"watch", prefix, PathWatch, request, c.timeout + wait})
 	return answer.Entries, answer.Revision, err
 }
 
-// Hosts implements platform.Store.
-func (c *Client) Hosts(ctx context.Context) ([]platform.HostRecord, error) {
+// Hosts implements kvstore.Store.
+func (c *Client) Hosts(ctx context.Context) ([]kvstore.HostRecord, error) {
 	answer, err := c.read(ctx, call{"hosts", "", PathHosts, struct{}{}, c.timeout})
 	return answer.Hosts, err
 }
--- a/internal/platform/httpstore/wire.go
+++ b/internal/kvstore/httpstore/wire.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Paths of the protocol. Every call is a POST with a JSON body.
@@ -31,22 +31,22 @@
 
 // LeaseRequest is the body of PathGrant, PathRenew and PathRevoke.
 type LeaseRequest struct {
-	ID  platform.LeaseID `json:"id,omitempty"`
-	TTL time.Duration    `json:"ttl,omitempty"` // nanoseconds; PathGrant only
+	ID  kvstore.LeaseID `json:"id,omitempty"`
+	TTL time.Duration   `json:"ttl,omitempty"` // nanoseconds; PathGrant only
 }
 
 // WatchRequest is the body of PathWatch.
 type WatchRequest struct {
-	Prefix string            `json:"prefix"`
-	After  platform.Revision `json:"after"`
-	Wait   time.Duration     `json:"wait"` // nanoseconds
+	Prefix string           `json:"prefix"`
+	After  kvstore.Revision `json:"after"`
+	Wait   time.Duration    `json:"wait"` // nanoseconds
 }
 
 // Response is the body of every answer; the fields that a call does not use are empty.
 type Response struct {
-	Entry    platform.Entry        `json:"entry,omitzero"`
-	Entries  []platform.Entry      `json:"entries,omitempty"`
-	Revision platform.Revision     `json:"revision,omitempty"`
-	Lease    platform.LeaseID      `json:"lease,omitempty"`
-	Hosts    []platform.HostRecord `json:"hosts,omitempty"`
+	Entry    kvstore.Entry        `json:"entry,omitzero"`
+	Entries  []kvstore.Entry      `json:"entries,omitempty"`
+	Revision kvstore.Revision     `json:"revision,omitempty"`
+	Lease    kvstore.LeaseID      `json:"lease,omitempty"`
+	Hosts    []kvstore.HostRecord `json:"hosts,omitempty"`
 }
--- a/internal/platform/platform.go
+++ b/internal/kvstore/kvstore.go
@@ -1,7 +1,7 @@
-// Package platform is the port to the users' key-value store and host list.
+// Package kvstore is the port to the users' key-value store and host list.
 //
 // Adapters implement Store. Nothing outside an adapter knows a store protocol.
-package platform
+package kvstore
 
 import (
 	"context"
--- a/internal/leadership/campaign.go
+++ b/internal/leadership/campaign.go
@@ -7,7 +7,7 @@
 
 	"peridotrail/internal/fleet"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Keys of the store. Each is followed by the name of a failure domain.
@@ -31,10 +31,10 @@
 // campaign makes the calls to the store. It remembers the lease that it asked
 // for, so that a key whose answer was lost is recognised as its own.
 type campaign struct {
-	store  platform.Store
+	store  kvstore.Store
 	self   host.Identity
 	timing Timing
-	lease  platform.LeaseID
+	lease  kvstore.LeaseID
 }
 
 func (c *campaign) leaderKey() string { return LeaderPrefix + c.self.FailureDomain }
@@ -70,40 +70,40 @@
 	return Result{Outcome: OutcomeHeld, Sent: sent, Lease: c.lease, Epoch: m.Epoch, Previous: m.Previous, First: m.First}
 }
 
-func (c *campaign) owns(entry platform.Entry) bool {
+func (c *campaign) owns(entry kvstore.Entry) bool {
 	return entry.Exists() && c.lease != 0 && entry.Lease == c.lease
 }
 
 // create writes the leader key under a new lease. On a conflict it returns the
 // entry that another process wrote.
-func (c *campaign) create(ctx context.Context) (platform.Entry, error) {
+func (c *campaign) create(ctx context.Context) (kvstore.Entry, error) {
 	lease, err := c.store.Grant(ctx, c.timing.LeaseTTL)
 	if err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	c.lease = lease
 	value, err := fleet.Marshal(record{Leader: c.self})
 	if err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
-	entry, err := c.store.CompareAndSwap(ctx, platform.Write{Key: c.leaderKey(), Value: value, Lease: lease})
+	entry, err := c.store.CompareAndSwap(ctx, kvstore.Write{Key: c.leaderKey(), Value: value, Lease: lease})
 	switch {
 	case err == nil:
 		return entry, nil
-	case platform.IsKind(err, platform.KindConflict):
+	case kvstore.IsKind(err, kvstore.KindConflict):
 		_ = c.store.Revoke(ctx, lease)
 		c.lease = 0
 		return entry, nil
-	case platform.IsKind(err, platform.KindUnknownOutcome):
+	case kvstore.IsKind(err, kvstore.KindUnknownOutcome):
 		return c.store.Get(ctx, c.leaderKey())
 	default:
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 }
 
 // mark notes the epoch of this leader after those before it. It reports false if
 // that is not certain; the next attempt finds a mark whose answer was lost.
-func (c *campaign) mark(ctx context.Context, marked platform.Entry, epoch uint64) (marker, bool) {
+func (c *campaign) mark(ctx context.Context, marked kvstore.Entry, epoch uint64) (marker, bool) {
 	var before marker
 	if marked.Exists() && fleet.Unmarshal(marked.Value, &before) != nil {
 		before = marker{} // written by an earlier version
@@ -116,11 +116,11 @@
 	if err != nil {
 		return m, false
 	}
-	_, err = c.store.CompareAndSwap(ctx, platform.Write{Key: c.epochKey(), Value: value, Expected: marked.Revision})
+	_, err = c.store.CompareAndSwap(ctx, kvstore.Write{Key: c.epochKey(), Value: value, Expected: marked.Revision})
 	return m, err == nil
 }
 
-func other(entry platform.Entry) Result {
+func other(entry kvstore.Entry) Result {
 	var held record
 	if !entry.Exists() || fleet.Unmarshal(entry.Value, &held) != nil {
 		return Result{Outcome: OutcomeUnavailable}
@@ -129,12 +129,12 @@
 }
 
 // renew extends the lease.
-func (c *campaign) renew(ctx context.Context, lease platform.LeaseID) Outcome {
+func (c *campaign) renew(ctx context.Context, lease kvstore.LeaseID) Outcome {
 	err := c.store.Renew(ctx, lease)
 	switch {
 	case err == nil:
 		return OutcomeHeld
-	case platform.IsKind(err, platform.KindLeaseExpired):
+	case kvstore.IsKind(err, kvstore.KindLeaseExpired):
 		return OutcomeExpired
 	default:
 		return OutcomeUnavailable
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Observation is what membership tells an Elector at a tick.
@@ -49,7 +49,7 @@
 type Result struct {
 	Outcome Outcome
 	Sent    time.Time // before the lease was asked for
-	Lease   platform.LeaseID
+	Lease   kvstore.LeaseID
 	Leader  host.Identity // that holds the key, with OutcomeOther
 	Epoch   uint64        // of the holder
 	First   bool          // with OutcomeHeld: the domain never had a leader before
@@ -89,7 +89,7 @@
 	leading    bool // this process holds, or held over, the key
 	previous   uint64
 	first      bool
-	lease      platform.LeaseID
+	lease      kvstore.LeaseID
 	validUntil time.Time // end of the lease, counted from before it was asked for
 	wonAt      time.Time
 	actsFrom   time.Time
@@ -402,7 +402,7 @@
 
 // Stop ends the leadership of this process for a graceful shutdown. It returns
 // the lease to end, zero if it has none, and the host that should follow.
-func (e *Elector) Stop() (lease platform.LeaseID, epoch uint64, successor host.ID) {
+func (e *Elector) Stop() (lease kvstore.LeaseID, epoch uint64, successor host.ID) {
 	e.stopping = true
 	if !e.leading {
 		return 0, e.epoch, ""
@@ -427,4 +427,4 @@
 }
 
 // Lease returns the lease under which this process leads.
-func (e *Elector) Lease() platform.LeaseID { return e.lease }
+func (e *Elector) Lease() kvstore.LeaseID { return e.lease }
--- a/internal/leadership/model_test.go
+++ b/internal/leadership/model_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 func TestMain(m *testing.M) {
@@ -270,7 +270,7 @@
 		m.store.expires = m.now.Add(DefaultTiming().LeaseTTL)
 		call.result.Outcome = OutcomeHeld
 		call.result.Epoch = m.store.epoch
-		call.result.Lease = platform.LeaseID(m.store.epoch)
+		call.result.Lease = kvstore.LeaseID(m.store.epoch)
 	}
 }
 
--- a/internal/leadership/service.go
+++ b/internal/leadership/service.go
@@ -12,8 +12,8 @@
 	"peridotrail/internal/duty"
 	"peridotrail/internal/fleet"
 	"peridotrail/internal/host"
+	"peridotrail/internal/kvstore"
 	"peridotrail/internal/membership"
-	"peridotrail/internal/platform"
 )
 
 // KindHandover tells a host that it should follow as leader.
@@ -33,7 +33,7 @@
 // Options configures a Service.
 type Options struct {
 	Self    host.Identity
-	Store   platform.Store
+	Store   kvstore.Store
 	View    func() *membership.View
 	Caller  fleet.Caller
 	Timing  Timing           // DefaultTiming if zero
@@ -199,7 +199,7 @@
 	s.results <- func(e *Elector) { e.Acquired(time.Now(), result) }
 }
 
-func (s *Service) renew(ctx context.Context, lease platform.LeaseID) {
+func (s *Service) renew(ctx context.Context, lease kvstore.LeaseID) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	sent := time.Now()
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -18,7 +18,7 @@
 	"peridotrail/internal/daemon"
 	"peridotrail/internal/fleet/keys"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 	"peridotrail/internal/settings"
 	"peridotrail/internal/standin/network"
 	"peridotrail/internal/standin/store"
@@ -131,7 +131,7 @@
 // join opens the ports of all hosts and publishes the platform's list of hosts.
 func (f *Fleet) join() error {
 	count := map[string]int{}
-	var records []platform.HostRecord
+	var records []kvstore.HostRecord
 	for _, domain := range f.options.Domains {
 		count[domain]++
 		p := &place{name: fmt.Sprintf("%s-%d", domain, count[domain]), domain: domain}
@@ -144,7 +144,7 @@
 		if p.port, err = f.Network.Join(domain, p.private); err != nil {
 			return err
 		}
-		records = append(records, platform.HostRecord{Name: p.name, FailureDomain: domain, FleetAddress: p.port.Address().String()})
+		records = append(records, kvstore.HostRecord{Name: p.name, FailureDomain: domain, FleetAddress: p.port.Address().String()})
 	}
 	f.Store.SetHosts(records)
 	return nil
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -16,7 +16,7 @@
 	"peridotrail/internal/duty"
 	"peridotrail/internal/fleet"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 const (
@@ -36,7 +36,7 @@
 	Self   host.Identity
 	Caller fleet.Caller
 	Seeds  []netip.AddrPort // fleet addresses to begin with
-	Store  platform.Store   // its list of hosts is a hint; may be nil
+	Store  kvstore.Store    // its list of hosts is a hint; may be nil
 	Timing Timing           // DefaultTiming if zero
 	// Leadership gives the leader of the own domain. Nil knows none.
 	Leadership func() Leadership
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -16,7 +16,7 @@
 
 	"peridotrail/internal/fleet/fleettest"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 	"peridotrail/internal/standin/store"
 )
 
@@ -43,7 +43,7 @@
 	stops    map[host.ID]func()
 	leaders  map[string]Leadership // by domain
 	seeds    []netip.AddrPort
-	store    platform.Store
+	store    kvstore.Store
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -265,7 +265,7 @@
 		defer c.stopAll()
 		listed := store.New()
 		first := identityOf("a", 0, 1)
-		listed.SetHosts([]platform.HostRecord{
+		listed.SetHosts([]kvstore.HostRecord{
 			{Name: string(first.ID), FailureDomain: "a", FleetAddress: first.Fleet.String()},
 			{Name: "dead", FailureDomain: "a", FleetAddress: "10.9.9.9:7000"},
 		})
--- a/internal/servicelevel/collect.go
+++ b/internal/servicelevel/collect.go
@@ -9,7 +9,7 @@
 
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Prefix begins the keys of all series: Prefix + failure domain + "/" + objective.
@@ -21,7 +21,7 @@
 // document is one series with the store's revision of it.
 type document struct {
 	series   *Series
-	revision platform.Revision
+	revision kvstore.Revision
 	changed  bool
 }
 
@@ -150,7 +150,7 @@
 			continue
 		}
 		err := t.writeOne(ctx, name, d)
-		if platform.IsKind(err, platform.KindConflict) {
+		if kvstore.IsKind(err, kvstore.KindConflict) {
 			t.collector = collector{}
 			return
 		}
@@ -169,7 +169,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	entry, err := t.config.Store.CompareAndSwap(ctx, platform.Write{
+	entry, err := t.config.Store.CompareAndSwap(ctx, kvstore.Write{
 		Key:      seriesKey(t.config.Self.FailureDomain, name),
 		Value:    value,
 		Expected: d.revision,
--- a/internal/servicelevel/report.go
+++ b/internal/servicelevel/report.go
@@ -10,7 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"peridotrail/internal/configuration"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Report says how fast the error budgets of all objectives burn, over all hosts.
@@ -100,7 +100,7 @@
 
 // ReadReport reads the series of all failure domains and reports on the
 // objectives of c.
-func ReadReport(ctx context.Context, store platform.Store, c *configuration.Configuration, now time.Time) (*Report, error) {
+func ReadReport(ctx context.Context, store kvstore.Store, c *configuration.Configuration, now time.Time) (*Report, error) {
 	entries, err := store.List(ctx, Prefix)
 	if err != nil {
 		return nil, err
--- a/internal/servicelevel/servicelevel_test.go
+++ b/internal/servicelevel/servicelevel_test.go
@@ -19,7 +19,7 @@
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/fleet/fleettest"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 	"peridotrail/internal/standin/store"
 )
 
@@ -192,7 +192,7 @@
 func TestReportIgnoresForeignValues(t *testing.T) {
 	s := store.New()
 	for _, key := range []string{Prefix + "east/o", Prefix + "nothing"} {
-		_, err := s.CompareAndSwap(t.Context(), platform.Write{Key: key, Value: []byte("x")})
+		_, err := s.CompareAndSwap(t.Context(), kvstore.Write{Key: key, Value: []byte("x")})
 		require.NoError(t, err)
 	}
 	c := &configuration.Configuration{Objectives: []configuration.Objective{{Name: "o", Service: "s", Target: 0.9, Window: configuration.Duration(24 * time.Hour)}}}
--- a/internal/servicelevel/tracker.go
+++ b/internal/servicelevel/tracker.go
@@ -20,7 +20,7 @@
 	"peridotrail/internal/duty"
 	"peridotrail/internal/fleet"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // KindCollect is the message with which a leader collects counts.
@@ -52,7 +52,7 @@
 // Config holds the dependencies of a Tracker.
 type Config struct {
 	Self       host.Identity
-	Store      platform.Store
+	Store      kvstore.Store
 	Caller     fleet.Caller
 	Registry   fleet.Registry
 	View       host.View
--- a/internal/standin/store/client.go
+++ b/internal/standin/store/client.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Caller names a client of the store. Faults can be limited to it.
@@ -21,8 +21,8 @@
 }
 
 var (
-	_ platform.Store = (*Client)(nil)
-	_ platform.Store = (*Store)(nil)
+	_ kvstore.Store = (*Client)(nil)
+	_ kvstore.Store = (*Store)(nil)
 )
 
 // Client returns the view of the given caller.
@@ -38,7 +38,7 @@
 	if delay > 0 {
 		s.mu.Unlock()
 		if err := wait(ctx, delay); err != nil {
-			return &platform.Error{Kind: lateKind(write), Op: op, Key: key, Err: err}
+			return &kvstore.Error{Kind: lateKind(write), Op: op, Key: key, Err: err}
 		}
 		s.mu.Lock()
 	}
@@ -50,11 +50,11 @@
 	return nil
 }
 
-func lateKind(write bool) platform.ErrorKind {
+func lateKind(write bool) kvstore.ErrorKind {
 	if write {
-		return platform.KindUnknownOutcome
+		return kvstore.KindUnknownOutcome
 	}
-	return platform.KindUnavailable
+	return kvstore.KindUnavailable
 }
 
 // end releases mu and loses the answer of a write if that fault is on.
@@ -62,22 +62,22 @@
 	lost := c.store.faults.losesAnswer()
 	c.store.mu.Unlock()
 	if lost {
-		return failure(platform.KindUnknownOutcome, op, key)
+		return failure(kvstore.KindUnknownOutcome, op, key)
 	}
 	return err
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements kvstore.Store.
+func (c *Client) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	if err := c.begin(ctx, opGet, key, false); err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	defer c.store.mu.Unlock()
 	return c.store.get(key), nil
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements kvstore.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]kvstore.Entry, error) {
 	if err := c.begin(ctx, opList, prefix, false); err != nil {
 		return nil, err
 	}
@@ -85,20 +85,20 @@
 	return c.store.list(prefix), nil
 }
 
-// CompareAndSwap implements platform.Store.
-func (c *Client) CompareAndSwap(ctx context.Context, w platform.Write) (platform.Entry, error) {
+// CompareAndSwap implements kvstore.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, w kvstore.Write) (kvstore.Entry, error) {
 	if err := c.begin(ctx, opCompareAndSwap, w.Key, true); err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	entry, err := c.store.compareAndSwap(w)
-	if err = c.end(opCompareAndSwap, w.Key, err); platform.IsKind(err, platform.KindUnknownOutcome) {
-		return platform.Entry{}, err
+	if err = c.end(opCompareAndSwap, w.Key, err); kvstore.IsKind(err, kvstore.KindUnknownOutcome) {
+		return kvstore.Entry{}, err
 	}
 	return entry, err
 }
 
-// Grant implements platform.Store.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements kvstore.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
 	if err := c.begin(ctx, opGrant, "", true); err != nil {
 		return 0, err
 	}
@@ -109,24 +109,24 @@
 	return id, nil
 }
 
-// Renew implements platform.Store.
-func (c *Client) Renew(ctx context.Context, id platform.LeaseID) error {
+// Renew implements kvstore.Store.
+func (c *Client) Renew(ctx context.Context, id kvstore.LeaseID) error {
 	if err := c.begin(ctx, opRenew, "", true); err != nil {
 		return err
 	}
 	return c.end(opRenew, "", c.store.renew(id))
 }
 
-// Revoke implements platform.Store.
-func (c *Client) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements kvstore.Store.
+func (c *Client) Revoke(ctx context.Context, id kvstore.LeaseID) error {
 	if err := c.begin(ctx, opRevoke, "", true); err != nil {
 		return err
 	}
 	return c.end(opRevoke, "", c.store.revoke(id))
 }
 
-// Hosts implements platform.Store.
-func (c *Client) Hosts(ctx context.Context) ([]platform.HostRecord, error) {
+// Hosts implements kvstore.Store.
+func (c *Client) Hosts(ctx context.Context) ([]kvstore.HostRecord, error) {
 	if err := c.begin(ctx, opHosts, "", false); err != nil {
 		return nil, err
 	}
@@ -134,8 +134,8 @@
 	return c.store.currentHosts(), nil
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, prefix string, after platform.Revision, limit time.Duration) ([]platform.Entry, platform.Revision, error) {
+// Watch implements kvstore.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after kvstore.Revision, limit time.Duration) ([]kvstore.Entry, kvstore.Revision, error) {
 	if err := c.begin(ctx, opWatch, prefix, false); err != nil {
 		return nil, 0, err
 	}
@@ -151,7 +151,7 @@
 		changed, pause := s.changed, s.untilVisible(s.untilExpiry(left))
 		s.mu.Unlock()
 		if err := waitOr(ctx, pause, changed); err != nil {
-			return nil, 0, &platform.Error{Kind: platform.KindUnavailable, Op: opWatch, Key: prefix, Err: err}
+			return nil, 0, &kvstore.Error{Kind: kvstore.KindUnavailable, Op: opWatch, Key: prefix, Err: err}
 		}
 		s.mu.Lock()
 		if err := s.faults.refuses(c.caller, opWatch, prefix, false); err != nil {
@@ -164,9 +164,9 @@
 
 // changes returns the visible changes under prefix after a revision, and the
 // visible revision of the store. The caller holds mu.
-func (s *Store) changes(prefix string, after platform.Revision) ([]platform.Entry, platform.Revision) {
+func (s *Store) changes(prefix string, after kvstore.Revision) ([]kvstore.Entry, kvstore.Revision) {
 	visible := s.visibleRevision()
-	var entries []platform.Entry
+	var entries []kvstore.Entry
 	for key, r := range s.records {
 		if strings.HasPrefix(key, prefix) && r.changed > after && r.changed <= visible {
 			entries = append(entries, r.entry)
@@ -181,7 +181,7 @@
 
 // visibleRevision returns the newest revision that watches may see. The caller
 // holds mu.
-func (s *Store) visibleRevision() platform.Revision {
+func (s *Store) visibleRevision() kvstore.Revision {
 	visible := s.revision
 	if s.faults.watchLag == 0 {
 		return visible
@@ -221,42 +221,42 @@
 
 func (s *Store) anonymous() *Client { return s.Client(Caller{}) }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements kvstore.Store.
+func (s *Store) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	return s.anonymous().Get(ctx, key)
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements kvstore.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]kvstore.Entry, error) {
 	return s.anonymous().List(ctx, prefix)
 }
 
-// CompareAndSwap implements platform.Store.
-func (s *Store) CompareAndSwap(ctx context.Context, w platform.Write) (platform.Entry, error) {
+// CompareAndSwap implements kvstore.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, w kvstore.Write) (kvstore.Entry, error) {
 	return s.anonymous().CompareAndSwap(ctx, w)
 }
 
-// Grant implements platform.Store.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements kvstore.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
 	return s.anonymous().Grant(ctx, ttl)
 }
 
-// Renew implements platform.Store.
-func (s *Store) Renew(ctx context.Context, id platform.LeaseID) error {
+// Renew implements kvstore.Store.
+func (s *Store) Renew(ctx context.Context, id kvstore.LeaseID) error {
 	return s.anonymous().Renew(ctx, id)
 }
 
-// Revoke implements platform.Store.
-func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements kvstore.Store.
+func (s *Store) Revoke(ctx context.Context, id kvstore.LeaseID) error {
 	return s.anonymous().Revoke(ctx, id)
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after platform.Revision, limit time.Duration) ([]platform.Entry, platform.Revision, error) {
+// Watch implements kvstore.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after kvstore.Revision, limit time.Duration) ([]kvstore.Entry, kvstore.Revision, error) {
 	return s.anonymous().Watch(ctx, prefix, after, limit)
 }
 
-// Hosts implements platform.Store.
-func (s *Store) Hosts(ctx context.Context) ([]platform.HostRecord, error) {
+// Hosts implements kvstore.Store.
+func (s *Store) Hosts(ctx context.Context) ([]kvstore.HostRecord, error) {
 	return s.anonymous().Hosts(ctx)
 }
--- a/internal/standin/store/fault.go
+++ b/internal/standin/store/fault.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 const (
@@ -123,12 +123,12 @@
 func (f *faults) refuses(caller Caller, op, key string, write bool) error {
 	if f.partitioned[caller.Host] || f.partitioned[caller.FailureDomain] {
 		if write {
-			return failure(platform.KindUnknownOutcome, op, key)
+			return failure(kvstore.KindUnknownOutcome, op, key)
 		}
-		return failure(platform.KindUnavailable, op, key)
+		return failure(kvstore.KindUnavailable, op, key)
 	}
 	if f.down {
-		return failure(platform.KindUnavailable, op, key)
+		return failure(kvstore.KindUnavailable, op, key)
 	}
 	return nil
 }
@@ -142,6 +142,6 @@
 	return f.loseRate > 0 && f.random.Float64() < f.loseRate
 }
 
-func failure(kind platform.ErrorKind, op, key string) error {
-	return &platform.Error{Kind: kind, Op: op, Key: key}
+func failure(kind kvstore.ErrorKind, op, key string) error {
+	return &kvstore.Error{Kind: kind, Op: op, Key: key}
 }
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -7,8 +7,8 @@
 
 	"github.com/go-faster/errors"
 
-	"peridotrail/internal/platform"
-	"peridotrail/internal/platform/httpstore"
+	"peridotrail/internal/kvstore"
+	"peridotrail/internal/kvstore/httpstore"
 )
 
 // ServeHTTP answers the protocol of package httpstore. A lost answer closes the
@@ -18,9 +18,9 @@
 		Host:          r.Header.Get(httpstore.HeaderHost),
 		FailureDomain: r.Header.Get(httpstore.HeaderFailureDomain),
 	})
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*platform.MaxValueSize))
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*kvstore.MaxValueSize))
 	answer, err := client.serve(r.Context(), r.URL.Path, decoder.Decode)
-	if platform.IsKind(err, platform.KindUnknownOutcome) {
+	if kvstore.IsKind(err, kvstore.KindUnknownOutcome) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -35,7 +35,7 @@
 	case httpstore.PathGrant, httpstore.PathRenew, httpstore.PathRevoke:
 		return c.serveLease(ctx, path, decode)
 	case httpstore.PathCompareAndSwap:
-		var request platform.Write
+		var request kvstore.Write
 		if err := decode(&request); err != nil {
 			return httpstore.Response{}, malformed(path, err)
 		}
@@ -86,20 +86,20 @@
 }
 
 func malformed(path string, err error) error {
-	return &platform.Error{Kind: platform.KindInvalid, Op: path, Err: err}
+	return &kvstore.Error{Kind: kvstore.KindInvalid, Op: path, Err: err}
 }
 
 func status(err error) int {
-	var failure *platform.Error
+	var failure *kvstore.Error
 	if !errors.As(err, &failure) {
 		return http.StatusOK
 	}
 	switch failure.Kind {
-	case platform.KindConflict:
+	case kvstore.KindConflict:
 		return http.StatusConflict
-	case platform.KindLeaseExpired:
+	case kvstore.KindLeaseExpired:
 		return http.StatusGone
-	case platform.KindInvalid:
+	case kvstore.KindInvalid:
 		return http.StatusBadRequest
 	default:
 		return http.StatusServiceUnavailable
--- a/internal/standin/store/lease.go
+++ b/internal/standin/store/lease.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // lease ends at its deadline unless it is renewed.
@@ -13,9 +13,9 @@
 }
 
 // grant creates a lease. The caller holds mu.
-func (s *Store) grant(ttl time.Duration) (platform.LeaseID, error) {
+func (s *Store) grant(ttl time.Duration) (kvstore.LeaseID, error) {
 	if ttl <= 0 {
-		return 0, failure(platform.KindInvalid, opGrant, "")
+		return 0, failure(kvstore.KindInvalid, opGrant, "")
 	}
 	s.lastLease++
 	s.leases[s.lastLease] = &lease{ttl: ttl, deadline: s.now().Add(ttl)}
@@ -23,26 +23,26 @@
 }
 
 // renew extends a lease. The caller holds mu.
-func (s *Store) renew(id platform.LeaseID) error {
+func (s *Store) renew(id kvstore.LeaseID) error {
 	l := s.leases[id]
 	if l == nil {
-		return failure(platform.KindLeaseExpired, opRenew, "")
+		return failure(kvstore.KindLeaseExpired, opRenew, "")
 	}
 	l.deadline = s.now().Add(l.ttl)
 	return nil
 }
 
 // revoke ends a lease and deletes its keys. The caller holds mu.
-func (s *Store) revoke(id platform.LeaseID) error {
+func (s *Store) revoke(id kvstore.LeaseID) error {
 	if s.leases[id] == nil {
-		return failure(platform.KindLeaseExpired, opRevoke, "")
+		return failure(kvstore.KindLeaseExpired, opRevoke, "")
 	}
 	s.end(id)
 	return nil
 }
 
 // end removes a lease with its keys. The caller holds mu.
-func (s *Store) end(id platform.LeaseID) {
+func (s *Store) end(id kvstore.LeaseID) {
 	delete(s.leases, id)
 	for key, r := range s.records {
 		if r.entry.Exists() && r.entry.Lease == id {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -10,32 +10,32 @@
 	"sync"
 	"time"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // record is one key with the revision and time of its last change. A deleted key
 // keeps its record so that watches see the deletion.
 type record struct {
-	entry   platform.Entry
-	changed platform.Revision
+	entry   kvstore.Entry
+	changed kvstore.Revision
 	at      time.Time
 }
 
 type hostList struct {
 	at    time.Time
-	hosts []platform.HostRecord
+	hosts []kvstore.HostRecord
 }
 
-// Store holds the data. It implements platform.Store for a caller without a
+// Store holds the data. It implements kvstore.Store for a caller without a
 // name; Client gives the view of a named caller. It is safe for concurrent use.
 type Store struct {
 	now func() time.Time
 
 	mu        sync.Mutex // guards all below
-	revision  platform.Revision
+	revision  kvstore.Revision
 	records   map[string]record
-	leases    map[platform.LeaseID]*lease
-	lastLease platform.LeaseID
+	leases    map[kvstore.LeaseID]*lease
+	lastLease kvstore.LeaseID
 	hosts     []hostList
 	faults    faults
 	calls     Calls
@@ -53,7 +53,7 @@
 	s := &Store{
 		now:     time.Now,
 		records: map[string]record{},
-		leases:  map[platform.LeaseID]*lease{},
+		leases:  map[kvstore.LeaseID]*lease{},
 		changed: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -63,7 +63,7 @@
 }
 
 // SetHosts replaces the platform's list of hosts.
-func (s *Store) SetHosts(hosts []platform.HostRecord) {
+func (s *Store) SetHosts(hosts []kvstore.HostRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts = append(s.hosts, hostList{at: s.now(), hosts: slices.Clone(hosts)})
@@ -77,15 +77,15 @@
 }
 
 // get returns the current entry. The caller holds mu.
-func (s *Store) get(key string) platform.Entry {
+func (s *Store) get(key string) kvstore.Entry {
 	entry := s.records[key].entry
 	entry.Key = key
 	return entry
 }
 
 // list returns the entries under prefix. The caller holds mu.
-func (s *Store) list(prefix string) []platform.Entry {
-	var entries []platform.Entry
+func (s *Store) list(prefix string) []kvstore.Entry {
+	var entries []kvstore.Entry
 	for key, r := range s.records {
 		if strings.HasPrefix(key, prefix) && r.entry.Exists() {
 			entries = append(entries, r.entry)
@@ -95,34 +95,34 @@
 	return entries
 }
 
-func sortEntries(entries []platform.Entry) {
-	slices.SortFunc(entries, func(a, b platform.Entry) int { return cmp.Compare(a.Key, b.Key) })
+func sortEntries(entries []kvstore.Entry) {
+	slices.SortFunc(entries, func(a, b kvstore.Entry) int { return cmp.Compare(a.Key, b.Key) })
 }
 
 // compareAndSwap applies w. The caller holds mu.
-func (s *Store) compareAndSwap(w platform.Write) (platform.Entry, error) {
-	if w.Key == "" || len(w.Value) > platform.MaxValueSize {
-		return platform.Entry{}, failure(platform.KindInvalid, opCompareAndSwap, w.Key)
+func (s *Store) compareAndSwap(w kvstore.Write) (kvstore.Entry, error) {
+	if w.Key == "" || len(w.Value) > kvstore.MaxValueSize {
+		return kvstore.Entry{}, failure(kvstore.KindInvalid, opCompareAndSwap, w.Key)
 	}
 	current := s.get(w.Key)
 	if current.Revision != w.Expected {
-		return current, failure(platform.KindConflict, opCompareAndSwap, w.Key)
+		return current, failure(kvstore.KindConflict, opCompareAndSwap, w.Key)
 	}
 	if w.Lease != 0 && s.leases[w.Lease] == nil {
-		return current, failure(platform.KindLeaseExpired, opCompareAndSwap, w.Key)
+		return current, failure(kvstore.KindLeaseExpired, opCompareAndSwap, w.Key)
 	}
 	if w.Delete {
 		s.remove(w.Key)
-		return platform.Entry{Key: w.Key}, nil
+		return kvstore.Entry{Key: w.Key}, nil
 	}
 	s.revision++
-	entry := platform.Entry{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision, Lease: w.Lease}
+	entry := kvstore.Entry{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision, Lease: w.Lease}
 	s.put(entry)
 	return entry, nil
 }
 
 // put stores entry as changed at the store's revision. The caller holds mu.
-func (s *Store) put(entry platform.Entry) {
+func (s *Store) put(entry kvstore.Entry) {
 	s.records[entry.Key] = record{entry: entry, changed: s.revision, at: s.now()}
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -131,11 +131,11 @@
 // remove deletes key. The caller holds mu.
 func (s *Store) remove(key string) {
 	s.revision++
-	s.put(platform.Entry{Key: key})
+	s.put(kvstore.Entry{Key: key})
 }
 
 // currentHosts returns the list that is old enough for the lag. The caller holds mu.
-func (s *Store) currentHosts() []platform.HostRecord {
+func (s *Store) currentHosts() []kvstore.HostRecord {
 	limit := s.now().Add(-s.faults.hostListLag)
 	for _, list := range slices.Backward(s.hosts) {
 		if !list.at.After(limit) {
--- a/internal/standin/store/store_test.go
+++ b/internal/standin/store/store_test.go
@@ -10,24 +10,24 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"peridotrail/internal/platform"
-	"peridotrail/internal/platform/httpstore"
+	"peridotrail/internal/kvstore"
+	"peridotrail/internal/kvstore/httpstore"
 	"peridotrail/internal/standin/store"
 )
 
 // ports returns the store itself and a client that reaches it over HTTP.
-func ports(t *testing.T, s *store.Store) map[string]platform.Store {
+func ports(t *testing.T, s *store.Store) map[string]kvstore.Store {
 	server := httptest.NewServer(s)
 	client := httpstore.New([]string{server.URL}, httpstore.WithCaller("h1", "d1"))
 	t.Cleanup(server.Close)
 	t.Cleanup(client.Close)
-	return map[string]platform.Store{
+	return map[string]kvstore.Store{
 		"direct": s.Client(store.Caller{Host: "h1", FailureDomain: "d1"}),
 		"http":   client,
 	}
 }
 
-func eachPort(t *testing.T, check func(t *testing.T, s *store.Store, p platform.Store)) {
+func eachPort(t *testing.T, check func(t *testing.T, s *store.Store, p kvstore.Store)) {
 	for _, name := range []string{"direct", "http"} {
 		t.Run(name, func(t *testing.T) {
 			s := store.New()
@@ -37,29 +37,29 @@
 }
 
 func TestCompareAndSwap(t *testing.T) {
-	eachPort(t, func(t *testing.T, _ *store.Store, p platform.Store) {
+	eachPort(t, func(t *testing.T, _ *store.Store, p kvstore.Store) {
 		ctx := context.Background()
-		first, err := p.CompareAndSwap(ctx, platform.Write{Key: "a", Value: []byte("1")})
+		first, err := p.CompareAndSwap(ctx, kvstore.Write{Key: "a", Value: []byte("1")})
 		require.NoError(t, err)
-		current, err := p.CompareAndSwap(ctx, platform.Write{Key: "a", Value: []byte("2")})
-		assert.True(t, platform.IsKind(err, platform.KindConflict), "%v", err)
+		current, err := p.CompareAndSwap(ctx, kvstore.Write{Key: "a", Value: []byte("2")})
+		assert.True(t, kvstore.IsKind(err, kvstore.KindConflict), "%v", err)
 		assert.Equal(t, first, current)
-		_, err = p.CompareAndSwap(ctx, platform.Write{Key: "a", Expected: first.Revision, Delete: true})
+		_, err = p.CompareAndSwap(ctx, kvstore.Write{Key: "a", Expected: first.Revision, Delete: true})
 		require.NoError(t, err)
 		gone, err := p.Get(ctx, "a")
 		require.NoError(t, err)
 		assert.False(t, gone.Exists())
-		_, err = p.CompareAndSwap(ctx, platform.Write{Key: "a", Value: make([]byte, platform.MaxValueSize+1)})
-		assert.True(t, platform.IsKind(err, platform.KindInvalid), "%v", err)
+		_, err = p.CompareAndSwap(ctx, kvstore.Write{Key: "a", Value: make([]byte, kvstore.MaxValueSize+1)})
+		assert.True(t, kvstore.IsKind(err, kvstore.KindInvalid), "%v", err)
 	})
 }
 
 func TestLostAnswerTakesEffect(t *testing.T) {
-	eachPort(t, func(t *testing.T, s *store.Store, p platform.Store) {
+	eachPort(t, func(t *testing.T, s *store.Store, p kvstore.Store) {
 		ctx := context.Background()
 		s.LoseNextAnswers(1)
-		_, err := p.CompareAndSwap(ctx, platform.Write{Key: "a", Value: []byte("1")})
-		assert.True(t, platform.IsKind(err, platform.KindUnknownOutcome), "%v", err)
+		_, err := p.CompareAndSwap(ctx, kvstore.Write{Key: "a", Value: []byte("1")})
+		assert.True(t, kvstore.IsKind(err, kvstore.KindUnknownOutcome), "%v", err)
 		entry, err := p.Get(ctx, "a")
 		require.NoError(t, err)
 		assert.Equal(t, "1", string(entry.Value))
@@ -67,17 +67,17 @@
 }
 
 func TestDownAndPartition(t *testing.T) {
-	eachPort(t, func(t *testing.T, s *store.Store, p platform.Store) {
+	eachPort(t, func(t *testing.T, s *store.Store, p kvstore.Store) {
 		ctx := context.Background()
 		s.SetDown(true)
 		_, err := p.Get(ctx, "a")
-		assert.True(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
+		assert.True(t, kvstore.IsKind(err, kvstore.KindUnavailable), "%v", err)
 		_, err = p.Grant(ctx, time.Second)
-		assert.True(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
+		assert.True(t, kvstore.IsKind(err, kvstore.KindUnavailable), "%v", err)
 		s.SetDown(false)
 		s.SetPartitioned("d1", true)
 		_, err = p.Grant(ctx, time.Second)
-		assert.True(t, platform.IsKind(err, platform.KindUnknownOutcome), "%v", err)
+		assert.True(t, kvstore.IsKind(err, kvstore.KindUnknownOutcome), "%v", err)
 		_, err = s.Get(ctx, "a")
 		assert.NoError(t, err, "another caller is not cut off")
 		s.SetPartitioned("d1", false)
@@ -92,7 +92,7 @@
 	server.Close()
 	client := httpstore.New([]string{url})
 	_, err := client.Grant(context.Background(), time.Second)
-	assert.True(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
+	assert.True(t, kvstore.IsKind(err, kvstore.KindUnavailable), "%v", err)
 }
 
 func TestNextEndpoint(t *testing.T) {
@@ -112,15 +112,15 @@
 		s := store.New()
 		id, err := s.Grant(ctx, time.Second)
 		require.NoError(t, err)
-		entry, err := s.CompareAndSwap(ctx, platform.Write{Key: "a", Value: []byte("1"), Lease: id})
+		entry, err := s.CompareAndSwap(ctx, kvstore.Write{Key: "a", Value: []byte("1"), Lease: id})
 		require.NoError(t, err)
 		start := time.Now()
 		changes, revision, err := s.Watch(ctx, "a", entry.Revision, time.Minute)
 		require.NoError(t, err)
 		assert.Equal(t, time.Second, time.Since(start))
-		assert.Equal(t, []platform.Entry{{Key: "a"}}, changes)
+		assert.Equal(t, []kvstore.Entry{{Key: "a"}}, changes)
 		assert.Greater(t, revision, entry.Revision)
-		assert.True(t, platform.IsKind(s.Renew(ctx, id), platform.KindLeaseExpired))
+		assert.True(t, kvstore.IsKind(s.Renew(ctx, id), kvstore.KindLeaseExpired))
 		assert.Equal(t, int64(1), s.Calls().Watch)
 	})
 }
@@ -131,8 +131,8 @@
 		s := store.New()
 		s.SetWatchLag(time.Second)
 		s.SetHostListLag(time.Second)
-		s.SetHosts([]platform.HostRecord{{Name: "h1"}})
-		_, err := s.CompareAndSwap(ctx, platform.Write{Key: "a", Value: []byte("1")})
+		s.SetHosts([]kvstore.HostRecord{{Name: "h1"}})
+		_, err := s.CompareAndSwap(ctx, kvstore.Write{Key: "a", Value: []byte("1")})
 		require.NoError(t, err)
 		hosts, err := s.Hosts(ctx)
 		require.NoError(t, err)
@@ -155,7 +155,7 @@
 		ctx := context.Background()
 		s := store.New()
 		s.SetDropWatches(true)
-		_, err := s.CompareAndSwap(ctx, platform.Write{Key: "a", Value: []byte("1")})
+		_, err := s.CompareAndSwap(ctx, kvstore.Write{Key: "a", Value: []byte("1")})
 		require.NoError(t, err)
 		changes, revision, err := s.Watch(ctx, "", 0, time.Second)
 		require.NoError(t, err)
--- a/internal/steering/observer.go
+++ b/internal/steering/observer.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // historyLength is the number of steps of a shift that a host remembers.
@@ -17,7 +17,7 @@
 
 type tracked struct {
 	observed Observed
-	revision platform.Revision
+	revision kvstore.Revision
 }
 
 // NewObserver creates an Observer that has seen nothing.
@@ -25,7 +25,7 @@
 
 // See takes over a document that was read at now. The step it holds counts as
 // made at now if this host sees it for the first time.
-func (o *Observer) See(progress Progress, revision platform.Revision, now time.Time) {
+func (o *Observer) See(progress Progress, revision kvstore.Revision, now time.Time) {
 	t := o.shifts[progress.Name]
 	if t == nil {
 		t = &tracked{observed: Observed{Progress: progress, Since: now}, revision: revision}
@@ -50,7 +50,7 @@
 }
 
 // Get returns what is known of a shift; a zero revision if it has no document.
-func (o *Observer) Get(name string) (Observed, platform.Revision) {
+func (o *Observer) Get(name string) (Observed, kvstore.Revision) {
 	if t := o.shifts[name]; t != nil {
 		return t.observed, t.revision
 	}
--- a/internal/steering/shift_duty.go
+++ b/internal/steering/shift_duty.go
@@ -8,7 +8,7 @@
 
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/host"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // Timing of the duty.
@@ -21,7 +21,7 @@
 // ShiftOptions configures a ShiftDuty.
 type ShiftOptions struct {
 	Self          host.Identity
-	Store         platform.Store
+	Store         kvstore.Store
 	Configuration func() *configuration.Snapshot
 	Leading       func() (epoch uint64, ok bool) // whether this host leads its failure domain
 	Measure       func(domain string) Measure
@@ -111,7 +111,7 @@
 	return true
 }
 
-func (d *ShiftDuty) see(entry platform.Entry) {
+func (d *ShiftDuty) see(entry kvstore.Entry) {
 	var progress Progress
 	if entry.Exists() && json.Unmarshal(entry.Value, &progress) == nil {
 		d.observer.See(progress, entry.Revision, d.options.Now())
@@ -161,7 +161,7 @@
 
 // write stores a progress. Whatever the store answers, the document is read
 // again before the next step if this host does not know what it holds.
-func (d *ShiftDuty) write(ctx context.Context, next Progress, expected platform.Revision) {
+func (d *ShiftDuty) write(ctx context.Context, next Progress, expected kvstore.Revision) {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return
@@ -169,7 +169,7 @@
 	ctx, cancel := context.WithTimeout(ctx, shiftCallTimeout)
 	defer cancel()
 	key := ShiftPrefix + next.Name
-	entry, err := d.options.Store.CompareAndSwap(ctx, platform.Write{Key: key, Value: value, Expected: expected})
+	entry, err := d.options.Store.CompareAndSwap(ctx, kvstore.Write{Key: key, Value: value, Expected: expected})
 	if err != nil {
 		d.read = time.Time{}
 		return
--- a/internal/steering/shift_test.go
+++ b/internal/steering/shift_test.go
@@ -11,7 +11,7 @@
 	"peridotrail/internal/configuration"
 	"peridotrail/internal/host"
 	"peridotrail/internal/invariant"
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -34,50 +34,50 @@
 
 // shiftStore is a store with one table whose calls can fail in the given way.
 type shiftStore struct {
-	platform.Store
+	kvstore.Store
 	now      func() time.Time
-	entries  map[string]platform.Entry
-	revision platform.Revision
-	fault    platform.ErrorKind // of the next call; zero: none
+	entries  map[string]kvstore.Entry
+	revision kvstore.Revision
+	fault    kvstore.ErrorKind // of the next call; zero: none
 	steps    []stepMade
 }
 
 func (s *shiftStore) takeFault(op, key string) (before, after error) {
 	kind := s.fault
 	s.fault = 0
-	failure := &platform.Error{Kind: kind, Op: op, Key: key}
+	failure := &kvstore.Error{Kind: kind, Op: op, Key: key}
 	switch kind {
-	case platform.KindUnavailable:
+	case kvstore.KindUnavailable:
 		return failure, nil
-	case platform.KindUnknownOutcome:
+	case kvstore.KindUnknownOutcome:
 		return nil, failure
 	}
 	return nil, nil
 }
 
-func (s *shiftStore) List(_ context.Context, prefix string) ([]platform.Entry, error) {
+func (s *shiftStore) List(_ context.Context, prefix string) ([]kvstore.Entry, error) {
 	before, after := s.takeFault("list", prefix)
 	if before != nil || after != nil {
-		return nil, &platform.Error{Kind: platform.KindUnavailable, Op: "list"}
+		return nil, &kvstore.Error{Kind: kvstore.KindUnavailable, Op: "list"}
 	}
-	var entries []platform.Entry
+	var entries []kvstore.Entry
 	for _, entry := range s.entries {
 		entries = append(entries, entry)
 	}
 	return entries, nil
 }
 
-func (s *shiftStore) CompareAndSwap(_ context.Context, w platform.Write) (platform.Entry, error) {
+func (s *shiftStore) CompareAndSwap(_ context.Context, w kvstore.Write) (kvstore.Entry, error) {
 	before, after := s.takeFault("compare-and-swap", w.Key)
 	if before != nil {
-		return platform.Entry{}, before
+		return kvstore.Entry{}, before
 	}
 	old := s.entries[w.Key]
 	if old.Revision != w.Expected {
-		return old, &platform.Error{Kind: platform.KindConflict, Key: w.Key}
+		return old, &kvstore.Error{Kind: kvstore.KindConflict, Key: w.Key}
 	}
 	s.revision++
-	entry := platform.Entry{Key: w.Key, Value: w.Value, Revision: s.revision}
+	entry := kvstore.Entry{Key: w.Key, Value: w.Value, Revision: s.revision}
 	s.entries[w.Key] = entry
 	s.record(old.Value, w.Value)
 	return entry, after
@@ -106,7 +106,7 @@
 
 func newShiftWorld(hosts int) *shiftWorld {
 	w := &shiftWorld{now: testNow, leading: make([]bool, hosts)}
-	w.store = &shiftStore{now: func() time.Time { return w.now }, entries: map[string]platform.Entry{}}
+	w.store = &shiftStore{now: func() time.Time { return w.now }, entries: map[string]kvstore.Entry{}}
 	w.source = Measure{LiveHosts: 2, FreeSlots: map[string]int{"s": 20}, Slots: map[string]int{"s": 100}}
 	w.target = Measure{LiveHosts: 2, FreeSlots: map[string]int{"s": 100}, Slots: map[string]int{"s": 100}}
 	for i := range hosts {
@@ -250,7 +250,7 @@
 				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "seconds")) * time.Second)
 			},
 			"fault": func(t *rapid.T) {
-				w.store.fault = rapid.SampledFrom([]platform.ErrorKind{platform.KindUnavailable, platform.KindUnknownOutcome}).Draw(t, "kind")
+				w.store.fault = rapid.SampledFrom([]kvstore.ErrorKind{kvstore.KindUnavailable, kvstore.KindUnknownOutcome}).Draw(t, "kind")
 			},
 			"shift": func(t *rapid.T) {
 				shift := testShift()
--- a/test/capacity/counting.go
+++ b/test/capacity/counting.go
@@ -4,17 +4,17 @@
 	"context"
 	"sync/atomic"
 
-	"peridotrail/internal/platform"
+	"peridotrail/internal/kvstore"
 )
 
 // countingStore counts the bytes of written values.
 type countingStore struct {
-	platform.Store
+	kvstore.Store
 	written atomic.Int64
 }
 
-// CompareAndSwap implements platform.Store.
-func (s *countingStore) CompareAndSwap(ctx context.Context, w platform.Write) (platform.Entry, error) {
+// CompareAndSwap implements kvstore.Store.
+func (s *countingStore) CompareAndSwap(ctx context.Context, w kvstore.Write) (kvstore.Entry, error) {
 	s.written.Add(int64(len(w.Value)))
 	return s.Store.CompareAndSwap(ctx, w)
 }
--- a/test/session/session_test.go
+++ b/test/session/session_test.go
@@ -21,8 +21,8 @@
 	"github.com/stretchr/testify/require"
 
 	"peridotrail/internal/ctl"
+	"peridotrail/internal/kvstore"
 	"peridotrail/internal/localfleet"
-	"peridotrail/internal/platform"
 	standin "peridotrail/internal/standin/upstream"
 )
 
@@ -102,7 +102,7 @@
 	var out bytes.Buffer
 	app := &ctl.App{
 		Stdout: &out, Stderr: &out, HTTP: http.DefaultClient, Now: time.Now, Pause: poll,
-		OpenStore: func([]string) platform.Store { return s.fleet.Store },
+		OpenStore: func([]string) kvstore.Store { return s.fleet.Store },
 	}
 	code := app.Run(s.t.Context(), append([]string{"peridotrailctl", "--store", "http://store"}, args...))
 	s.note("$ peridotrailctl %s", s.names.Replace(strings.Join(args, " ")))
