--- a/cmd/peridotraild/main.go
+++ b/cmd/peridotraild/main.go
@@ -32,6 +32,6 @@
 		Usage: "run one entry host",
 		Description: "Exit codes: 0 after a graceful shutdown, 1 when the host failed,\n" +
 			"2 when the settings are invalid.",
-		Commands: []*cli.Command{serveCommand(), checkCommand(), quickstartCommand()},
+		Commands: []*cli.Command{serveCommand(), gatewayCommand(), checkCommand(), quickstartCommand()},
 	}
 }
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -65,9 +66,30 @@
 	if err != nil {
 		return nil, a.failure(request, err)
 	}
+	response.Body = &trackedBody{ReadCloser: response.Body, attempt: a}
 	return response, nil
 }
 
+// trackedBody is a response body that knows its connection.
+type trackedBody struct {
+	io.ReadCloser
+	attempt *attempt
+}
+
+// Discard gives up a response and closes its connection, on which bytes of
+// another response may follow.
+func Discard(response *http.Response) {
+	if body, ok := response.Body.(*trackedBody); ok {
+		body.attempt.mu.Lock()
+		conn := body.attempt.conn
+		body.attempt.mu.Unlock()
+		if conn != nil {
+			_ = conn.Close() // the connection is of no further use
+		}
+	}
+	_ = response.Body.Close() // nothing is expected of it
+}
+
 func (a *attempt) failure(request *http.Request, err error) *Error {
 	phase := PhaseConnect
 	if a.connected() {
--- a/internal/entry/forward/conn.go
+++ b/internal/entry/forward/conn.go
@@ -5,7 +5,10 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // conn counts the bytes written to an upstream connection.
@@ -49,8 +52,40 @@
 
 const dialTimeout = 5 * time.Second
 
-func newDialer(limit func() int) *dialer {
-	return &dialer{limit: limit, dial: net.Dialer{Timeout: dialTimeout}}
+func newDialer(o Options) *dialer {
+	d := &dialer{limit: o.Limit, dial: net.Dialer{Timeout: dialTimeout}}
+	if o.DialTimeout > 0 {
+		d.dial.Timeout = o.DialTimeout
+	}
+	if o.SilenceTimeout > 0 {
+		d.dial.KeepAliveConfig = probes(o.SilenceTimeout)
+		d.dial.Control = userTimeout(o.SilenceTimeout)
+	}
+	return d
+}
+
+// silenceProbes is the number of unanswered probes that end a silent connection.
+const silenceProbes = 2
+
+// probes spreads the keep-alive probes over a timeout. The kernel counts whole
+// seconds.
+func probes(timeout time.Duration) net.KeepAliveConfig {
+	interval := max(timeout/(silenceProbes+1), time.Second)
+	return net.KeepAliveConfig{Enable: true, Idle: interval, Interval: interval, Count: silenceProbes}
+}
+
+// userTimeout bounds how long sent data may stay unacknowledged.
+func userTimeout(timeout time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failure error
+		err := raw.Control(func(fd uintptr) {
+			failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failure
+	}
 }
 
 // reserve takes the room of one connection.
--- a/internal/entry/forward/transport.go
+++ b/internal/entry/forward/transport.go
@@ -29,15 +29,33 @@
 	base   *http.Transport
 }
 
+// Options configures the connections of a Transport.
+type Options struct {
+	Limit       func() int    // connections that may be open at the same time
+	DialTimeout time.Duration // zero: 5 s
+	IdleTimeout time.Duration // after which an idle connection is closed; zero: 90 s
+	// SilenceTimeout closes a connection whose peer acknowledges nothing any
+	// more, without a limit on how long it works. Zero: the system's defaults.
+	SilenceTimeout time.Duration
+}
+
 // NewTransport returns a transport that holds at most limit() connections open.
-func NewTransport(limit func() int) *Transport {
-	d := newDialer(limit)
+func NewTransport(limit func() int) *Transport { return NewTransportWith(Options{Limit: limit}) }
+
+// NewTransportWith returns a transport with the given options.
+func NewTransportWith(o Options) *Transport {
+	limit := o.Limit
+	d := newDialer(o)
+	idle := o.IdleTimeout
+	if idle == 0 {
+		idle = idleConnectionTimeout
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	base := &http.Transport{
 		DialContext:            d.dialContext,
 		DisableCompression:     true,
-		IdleConnTimeout:        idleConnectionTimeout,
+		IdleConnTimeout:        idle,
 		MaxIdleConnsPerHost:    max(1, limit()),
 		MaxResponseHeaderBytes: maxResponseHeadBytes,
 		ReadBufferSize:         readBufferBytes,
--- /dev/null
+++ b/internal/gateway/deliver.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"peridotrail/internal/boottime"
+	"peridotrail/internal/placement"
+	"peridotrail/internal/problem"
+)
+
+// deliver passes an upstream's answer on. Once its head is out, a body that breaks
+// off ends the connection.
+func (x *exchange) deliver(w http.ResponseWriter, a answer) *problem.Problem {
+	header := w.Header()
+	for name, values := range endToEnd(a.response.Header) {
+		header[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil // keeps net/http from guessing
+	}
+	if a.rest == nil && x.request.Method != http.MethodHead {
+		header["Content-Length"] = []string{strconv.Itoa(len(a.body))}
+	}
+	w.WriteHeader(a.response.StatusCode)
+	_, err := w.Write(a.body)
+	if a.rest != nil {
+		defer a.rest.Close()
+		if err == nil {
+			_, err = io.Copy(w, a.rest)
+		}
+	}
+	took := boottime.Now().Sub(x.arrived)
+	x.gateway.counters.ended(strconv.Itoa(a.response.StatusCode), took)
+	if err != nil && a.rest != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if a.response.StatusCode >= http.StatusBadRequest {
+		x.log("request failed", a.response.StatusCode, "upstream's own answer", took)
+	}
+	return nil
+}
+
+// refuse answers a request that no upstream has answered.
+func (x *exchange) refuse(w http.ResponseWriter, p *problem.Problem) {
+	took := boottime.Now().Sub(x.arrived)
+	x.gateway.counters.ended(strconv.Itoa(p.Status), took)
+	x.log("request refused", p.Status, p.Detail, took)
+	if x.request.Context().Err() != nil {
+		return // nobody reads the answer
+	}
+	if p.RetryAfter > 0 {
+		w.Header().Set("Retry-After", x.gateway.dialect.FormatRetryAfter(p.RetryAfter))
+		p.RetryAfter = 0
+	}
+	p.Write(w)
+}
+
+// log writes one line for a request that was not served.
+func (x *exchange) log(event string, status int, detail string, took time.Duration) {
+	line := []any{"event", event, "request", x.call.ID, "status", status, "detail", detail, "took_ms", took.Milliseconds(), "attempts", x.attempts, "last", x.last}
+	if x.table != nil {
+		line = append(line, "version", x.table.Version())
+	}
+	if x.route != nil {
+		line = append(line, "route", x.route.Name, "service", x.service)
+	}
+	_ = level.Info(x.gateway.logger).Log(line...)
+}
+
+// logAttempt writes one line for an attempt without an answer.
+func (x *exchange) logAttempt(placed *placement.Placement, err error) {
+	_ = level.Info(x.gateway.logger).Log("event", "attempt failed", "request", x.call.ID, "upstream", placed.Upstream.ID, "expected_ms", placed.Expected().Milliseconds(), "err", err)
+}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,262 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"peridotrail/internal/boottime"
+	"peridotrail/internal/entry/forward"
+	"peridotrail/internal/placement"
+	"peridotrail/internal/problem"
+	"peridotrail/internal/routing"
+)
+
+// exchange is the way of one request through this host.
+type exchange struct {
+	gateway *Gateway
+	request *http.Request
+	call    Call
+	arrived boottime.Instant
+
+	table   *routing.Table
+	route   *routing.Route
+	account *routing.Account
+	service string
+	payload *forward.Payload
+	header  http.Header // end-to-end headers of the request
+	limit   boottime.Instant
+
+	tried      []string
+	attempts   int
+	admitted   bool   // a token of the account's rate was spent
+	mayHaveRun bool   // an upstream may have run the request
+	last       string // result of the last attempt, for the log
+}
+
+// requests serves one request of a caller.
+func (g *Gateway) requests(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{gateway: g, request: r, call: g.dialect.ReadCall(r), arrived: boottime.Now()}
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	refusal := x.prepare()
+	if x.payload != nil {
+		defer x.payload.Release()
+	}
+	if refusal == nil {
+		refusal = x.run(w)
+	}
+	if refusal != nil {
+		x.refuse(w, refusal)
+	}
+}
+
+// prepare finds out what the request is and whether it may run.
+func (x *exchange) prepare() *problem.Problem {
+	g := x.gateway
+	if g.refusing.Load() {
+		return notRun(problem.TypeShuttingDown, "the host is leaving").After(shortRetry)
+	}
+	if refusal := x.authorise(); refusal != nil {
+		return refusal
+	}
+	body := http.MaxBytesReader(nil, x.request.Body, bodyBytes(x.table.Limits()))
+	payload, err := forward.ReadPayload(body, x.request.ContentLength)
+	if err != nil {
+		return notRun(problem.TypeMalformed, "the body could not be read: "+err.Error())
+	}
+	x.payload = payload
+	x.service = g.splitter.choose(x.route)
+	x.header = endToEnd(x.request.Header)
+	x.limit = x.arrived.Add(x.route.Timeout)
+	if x.call.Deadline > 0 {
+		x.limit = min(x.limit, x.arrived.Add(x.call.Deadline))
+	}
+	return nil
+}
+
+// defaultBodyBytes bounds a body where the policy does not.
+const defaultBodyBytes = 64 << 20
+
+func bodyBytes(limits routing.Limits) int64 {
+	if limits.BodyBytes > 0 {
+		return limits.BodyBytes
+	}
+	return defaultBodyBytes
+}
+
+// authorise finds the route and the account under the policy in force now. It is
+// repeated before each attempt.
+func (x *exchange) authorise() *problem.Problem {
+	g := x.gateway
+	table := g.state.table.Load()
+	if table == nil {
+		return notRun(problem.TypeNotReady, "no policy is in force yet").After(shortRetry)
+	}
+	if table == x.table {
+		return x.currentKeys()
+	}
+	x.table = table
+	x.route = table.Route(x.request.Host, x.request.URL.Path)
+	if x.route == nil {
+		return notRun(problem.TypeNotFound, "no route matches")
+	}
+	x.account = table.Owner(x.call.Key)
+	if x.account == nil && !x.route.Open {
+		return notRun(problem.TypeUnauthenticated, "the key is unknown")
+	}
+	return x.currentKeys()
+}
+
+// currentKeys refuses keyed requests while the keys are not proved current.
+func (x *exchange) currentKeys() *problem.Problem {
+	if x.route.Open {
+		return nil
+	}
+	if age, ok := x.gateway.keysCurrent(boottime.Now()); !ok {
+		return notRun(problem.TypeNotReady, "the keys were last proved current "+age.String()+" ago").After(shortRetry)
+	}
+	return nil
+}
+
+// shortRetry is the advice where another host can serve the request at once.
+const shortRetry = 50 * time.Millisecond
+
+func notRun(t problem.Type, detail string) *problem.Problem {
+	return problem.New(t, problem.ExecutedNo, detail)
+}
+
+// work describes the request to the placement.
+func (x *exchange) work() placement.Work {
+	w := placement.Work{
+		Service:          x.service,
+		Route:            x.route.Name,
+		Object:           x.call.Object,
+		Sticky:           x.route.Sticky,
+		Objective:        x.arrived.Add(x.route.LatencyObjective),
+		Limit:            x.limit,
+		LatencyObjective: x.route.LatencyObjective,
+		Tried:            x.tried,
+	}
+	if regions, bound := routing.HomeRegions(x.route, x.account); bound {
+		w.Allowed = func(region string) bool { return contains(regions, region) }
+	}
+	return w
+}
+
+func contains(all []string, one string) bool {
+	for _, each := range all {
+		if each == one {
+			return true
+		}
+	}
+	return false
+}
+
+// run sends the request to upstreams until one answers. It returns the refusal
+// or failure to send if none does.
+func (x *exchange) run(w http.ResponseWriter) *problem.Problem {
+	ctx, cancel := context.WithTimeout(x.request.Context(), x.limit.Sub(boottime.Now()))
+	defer cancel()
+	for {
+		placed, failure := x.place()
+		if failure != nil {
+			return failure
+		}
+		reply := x.send(ctx, placed)
+		x.gateway.counters.attempted(string(reply.result))
+		x.last = string(reply.result)
+		switch reply.result {
+		case resultAnswered:
+			return x.deliver(w, reply)
+		case resultUnknown:
+			x.mayHaveRun = true
+		case resultCancelled:
+			x.mayHaveRun = true
+			return x.expired(ctx)
+		}
+		if x.mayHaveRun && !x.route.Idempotent {
+			return x.unknown("the upstream gave no answer")
+		}
+		if x.attempts >= x.route.MaxAttempts {
+			return x.exhausted("no upstream answered")
+		}
+		if !x.gateway.limits.takeRepeat(x.service, boottime.Now()) {
+			return x.exhausted("the budget of repeats is used up")
+		}
+	}
+}
+
+// place chooses the upstream of the next attempt.
+func (x *exchange) place() (*placement.Placement, *problem.Problem) {
+	if x.attempts > 0 {
+		if refusal := x.authorise(); refusal != nil {
+			return nil, x.exhausted(refusal.Detail)
+		}
+	}
+	if refusal := x.admit(); refusal != nil {
+		return nil, refusal
+	}
+	now := boottime.Now()
+	placed, err := x.gateway.state.pool.Place(x.work(), now)
+	if err != nil {
+		x.giveBack()
+		refused, _ := err.(*placement.RefusedError)
+		if x.mayHaveRun {
+			return nil, x.unknown(refused.Error())
+		}
+		return nil, notRun(problem.TypeOverloaded, refused.Error()).After(refused.RetryAfter)
+	}
+	if x.attempts == 0 {
+		x.gateway.limits.firstSend(x.service, now)
+	}
+	x.attempts++
+	x.tried = append(x.tried, placed.Upstream.ID)
+	return placed, nil
+}
+
+// admit spends one request of the account's rate, once.
+func (x *exchange) admit() *problem.Problem {
+	if x.account == nil || x.admitted {
+		return nil
+	}
+	ok, wait := x.gateway.limits.takeRate(x.account.Name, boottime.Now())
+	if !ok {
+		return notRun(problem.TypeRateExceeded, "client account "+x.account.Name).After(wait)
+	}
+	x.admitted = true
+	return nil
+}
+
+// giveBack returns the token of a request that no upstream was asked to run.
+func (x *exchange) giveBack() {
+	if x.admitted && x.attempts == 0 {
+		x.gateway.limits.returnRate(x.account.Name)
+		x.admitted = false
+	}
+}
+
+// expired ends a request whose time is over or whose caller has left.
+func (x *exchange) expired(ctx context.Context) *problem.Problem {
+	if x.request.Context().Err() != nil {
+		return problem.New(problem.TypeDeadlineExceeded, problem.ExecutedUnknown, "the caller left")
+	}
+	_ = ctx
+	return problem.New(problem.TypeDeadlineExceeded, problem.ExecutedUnknown, "no answer in time")
+}
+
+func (x *exchange) unknown(detail string) *problem.Problem {
+	return problem.New(problem.TypeUpstreamFailed, problem.ExecutedUnknown, detail)
+}
+
+// exhausted ends a request that no further upstream is asked to run.
+func (x *exchange) exhausted(detail string) *problem.Problem {
+	if x.mayHaveRun {
+		return x.unknown(detail)
+	}
+	return notRun(problem.TypeOverloaded, detail).After(exhaustedRetry)
+}
+
+// exhaustedRetry is the advice after upstreams refused to run a request.
+const exhaustedRetry = 300 * time.Millisecond
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// refuseAfter is the part of the grace after which a leaving host refuses new
+	// requests; until then callers learn from look-ups that it leaves.
+	refuseAfter = 0.45
+	// finishBefore is the part of the grace at which the process ends.
+	finishBefore = 0.95
+	// headerTimeout bounds how long a caller may take to send a request's head.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is longer than callers keep idle connections.
+	idleTimeout = 90 * time.Second
+	// headerBytes bounds the head of a request.
+	headerBytes = 64 << 10
+)
+
+// Run serves until ctx ends, then shuts down gracefully within the grace.
+func (g *Gateway) Run(ctx context.Context) error {
+	servers, err := g.listen()
+	if err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	registered, withdraw := context.WithCancel(background)
+	defer withdraw()
+	var duties sync.WaitGroup
+	duties.Go(func() { g.replica.Run(background) })
+	duties.Go(func() { g.expire(background) })
+	duties.Go(func() { g.register(registered) })
+	_ = level.Info(g.logger).Log("event", "started", "host", g.settings.Host, "domain", g.settings.FailureDomain, "region", g.settings.Region)
+
+	<-ctx.Done()
+	g.shutdown(servers, withdraw)
+	stop()
+	duties.Wait()
+	_ = level.Info(g.logger).Log("event", "stopped", "host", g.settings.Host)
+	return nil
+}
+
+// shutdown stops the host without cutting a request: callers learn that it
+// leaves, then new requests are refused, then the last ones end.
+func (g *Gateway) shutdown(servers []*http.Server, withdraw context.CancelFunc) {
+	_ = level.Info(g.logger).Log("event", "leaving", "grace", g.settings.Grace)
+	grace := g.settings.Grace
+	end, cancel := context.WithTimeout(context.Background(), time.Duration(float64(grace)*finishBefore))
+	defer cancel()
+	g.leaving.Store(true)
+	withdraw()
+	time.Sleep(time.Duration(float64(grace) * refuseAfter))
+	g.refusing.Store(true)
+	var wait sync.WaitGroup
+	for _, server := range servers {
+		wait.Go(func() {
+			if err := server.Shutdown(end); err != nil {
+				_ = level.Warn(g.logger).Log("event", "requests cut by the end of the grace", "address", server.Addr, "err", err)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// listen opens the listeners and serves them.
+func (g *Gateway) listen() ([]*http.Server, error) {
+	var servers []*http.Server
+	for _, each := range []struct {
+		address string
+		handler http.HandlerFunc
+	}{
+		{g.settings.ListenCallers, g.requests},
+		{g.settings.ListenReady, g.readiness},
+		{g.settings.ListenLookups, g.lookups},
+	} {
+		listener, err := net.Listen("tcp4", each.address)
+		if err != nil {
+			return nil, err
+		}
+		server := &http.Server{
+			Addr:              each.address,
+			Handler:           each.handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    headerBytes,
+		}
+		servers = append(servers, server)
+		go func() {
+			if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+				_ = level.Error(g.logger).Log("event", "listener failed", "address", each.address, "err", err)
+			}
+		}()
+	}
+	return servers, nil
+}
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"peridotrail/internal/boottime"
+	"peridotrail/internal/entry/forward"
+	"peridotrail/internal/placement"
+	"peridotrail/internal/problem"
+)
+
+// result says what became of one attempt.
+type result string
+
+// Results of an attempt.
+const (
+	resultAnswered  result = "answered"
+	resultNotRun    result = "not-run"   // nothing was sent, or the upstream did not run it
+	resultUnknown   result = "unknown"   // the upstream may have run it
+	resultCancelled result = "cancelled" // the time was over or the caller left
+)
+
+// answer is what an attempt brought.
+type answer struct {
+	result   result
+	response *http.Response
+	body     []byte // the whole body, or its beginning if rest is set
+	rest     io.ReadCloser
+}
+
+// wholeBody is the size up to which an answer is read before any of it is passed
+// on, so that a broken one can be asked for again.
+const wholeBody = 1 << 20
+
+// send makes one attempt and tells the placement what came of it.
+func (x *exchange) send(ctx context.Context, placed *placement.Placement) answer {
+	response, err := x.gateway.transports.to(placed.Upstream).RoundTrip(x.outbound(ctx, placed))
+	if err != nil {
+		return x.failed(ctx, placed, err)
+	}
+	reply := x.gateway.dialect.ReadReply(response)
+	now := boottime.Now()
+	if reply.ColdLeft > 0 {
+		placed.ColdFor(now.Add(reply.ColdLeft))
+	}
+	if reply.CallID != "" && reply.CallID != x.call.ID {
+		forward.Discard(response)
+		placed.Done(placement.Report{Outcome: placement.OutcomeFailed}, now)
+		return answer{result: resultUnknown}
+	}
+	if reply.NotRun || reply.Moved {
+		return x.rejected(placed, response, reply)
+	}
+	a, err := read(response)
+	if err != nil {
+		return x.failed(ctx, placed, err)
+	}
+	success := response.StatusCode < http.StatusBadRequest
+	if success && !reply.Signed || !success && promisesNotRun(response.StatusCode) {
+		forward.Discard(response)
+		placed.Done(placement.Report{Outcome: placement.OutcomeFailed}, boottime.Now())
+		return answer{result: resultUnknown}
+	}
+	placed.Done(placement.Report{Outcome: placement.OutcomeAnswered, Failure: response.StatusCode >= http.StatusInternalServerError, Load: reply.Load}, boottime.Now())
+	return a
+}
+
+// promisesNotRun reports whether callers take a status for a promise that the
+// request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// rejected ends an attempt that the upstream did not run.
+func (x *exchange) rejected(placed *placement.Placement, response *http.Response, reply Reply) answer {
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, wholeBody)) // lets the connection be used again
+	_ = response.Body.Close()
+	outcome := placement.OutcomeNotRun
+	if reply.Moved {
+		outcome = placement.OutcomeMoved
+	}
+	placed.Done(placement.Report{Outcome: outcome, Load: reply.Load}, boottime.Now())
+	return answer{result: resultNotRun}
+}
+
+// failed ends an attempt without an answer.
+func (x *exchange) failed(ctx context.Context, placed *placement.Placement, err error) answer {
+	now := boottime.Now()
+	if ctx.Err() != nil {
+		placed.Done(placement.Report{Outcome: placement.OutcomeCancelled}, now)
+		return answer{result: resultCancelled}
+	}
+	placed.Done(placement.Report{Outcome: placement.OutcomeFailed}, now)
+	x.logAttempt(placed, err)
+	var failure *forward.Error
+	if errors.As(err, &failure) && failure.Executed == problem.ExecutedNo {
+		return answer{result: resultNotRun}
+	}
+	return answer{result: resultUnknown}
+}
+
+// read takes the whole body of a response, or its beginning if it is long.
+func read(response *http.Response) (answer, error) {
+	var buffer bytes.Buffer
+	if response.ContentLength > 0 && response.ContentLength <= wholeBody {
+		buffer.Grow(int(response.ContentLength) + bytes.MinRead)
+	}
+	n, err := io.Copy(&buffer, io.LimitReader(response.Body, wholeBody))
+	if err != nil {
+		forward.Discard(response)
+		return answer{}, err
+	}
+	a := answer{result: resultAnswered, response: response, body: buffer.Bytes()}
+	if n == wholeBody {
+		a.rest = response.Body
+		return a, nil
+	}
+	_ = response.Body.Close() // read to its end
+	return a, nil
+}
+
+// outbound builds the request for an upstream.
+func (x *exchange) outbound(ctx context.Context, placed *placement.Placement) *http.Request {
+	header := x.header.Clone()
+	attempt := Attempt{Upstream: placed.Upstream.ID, Left: x.limit.Sub(boottime.Now())}
+	if x.account != nil {
+		attempt.Account = x.account.Name
+	}
+	x.gateway.dialect.WriteAttempt(header, attempt)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""} // keeps net/http from adding its own
+	}
+	request := &http.Request{
+		Method:        x.request.Method,
+		URL:           &url.URL{Scheme: "http", Host: placed.Upstream.Address, Opaque: x.request.RequestURI},
+		Host:          x.request.Host,
+		Header:        header,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		ContentLength: x.payload.Length(),
+		Body:          http.NoBody,
+	}
+	if request.ContentLength != 0 {
+		request.Body = x.payload.Reader()
+	}
+	return request.WithContext(ctx)
+}
+
+// hopByHop headers concern one connection only.
+var hopByHop = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true,
+	"Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Expect": true, "Content-Length": true,
+}
+
+// endToEnd returns the headers that pass a hop.
+func endToEnd(from http.Header) http.Header {
+	to := make(http.Header, len(from))
+	for name, values := range from {
+		if !hopByHop[name] {
+			to[name] = values
+		}
+	}
+	for _, value := range from["Connection"] {
+		for token := range strings.SplitSeq(value, ",") {
+			if name := http.CanonicalHeaderKey(strings.TrimSpace(token)); !essential[name] {
+				delete(to, name)
+			}
+		}
+	}
+	return to
+}
+
+// essential headers may not be removed by a Connection header.
+var essential = map[string]bool{"Authorization": true, "Cookie": true, "Content-Type": true, "Host": true}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,72 @@
+package gateway
+
+import "time"
+
+// Settings are the static settings of one host.
+type Settings struct {
+	Host          string
+	FailureDomain string
+	Region        string
+	Regions       map[string]string // region of each failure domain
+
+	ListenCallers string // IP:port for requests
+	ListenReady   string // IP:port for the readiness check
+	ListenLookups string // IP:port for look-ups
+
+	MemoryLimit int64 // bytes; zero: no limit
+	Descriptors int   // zero: no limit
+
+	Grace              time.Duration // from SIGTERM until the process must have ended
+	KeyAge             time.Duration // from the withdrawal of a key to its last use, at most
+	LookupLifetimeMost time.Duration // of a look-up answer
+	LeastLeaseTTL      time.Duration // that the store grants
+
+	RepeatRatio  float64       // requests sent to a second upstream, for each request of a service
+	RepeatSlack  float64       // further ones, over all hosts together
+	RepeatWindow time.Duration // over which both are counted
+
+	ColdExcess float64 // factor on the rate that a cold upstream bears
+	ColdSlack  float64 // requests a second beyond it
+	MaxShift   float64 // share of a region's requests that may change their region in 2 s
+}
+
+// DefaultSettings returns the values that apply where a deployment is silent.
+func DefaultSettings() Settings {
+	return Settings{
+		Grace:              10 * time.Second,
+		KeyAge:             5 * time.Second,
+		LookupLifetimeMost: 5 * time.Second,
+		LeastLeaseTTL:      time.Second,
+		RepeatRatio:        0.1,
+		RepeatSlack:        10,
+		RepeatWindow:       10 * time.Second,
+		ColdExcess:         1,
+		MaxShift:           0.15,
+	}
+}
+
+const (
+	// proofInterval is the time between proofs that the policy is current. With
+	// the timeout of a failed proof and one retry it stays below the usual KeyAge.
+	proofInterval = 1500 * time.Millisecond
+	// proofMargin is the part of KeyAge kept for the way to the upstream.
+	proofMargin = 400 * time.Millisecond
+	// hostLeaseTTL is how long a dead host stays registered.
+	hostLeaseTTL = 3 * time.Second
+	// hostRenewal leaves two renewals to fail before the lease ends.
+	hostRenewal = 900 * time.Millisecond
+	// lookupLifetime is short against the time after which a dead host must not be
+	// named any more.
+	lookupLifetime = 2 * time.Second
+	// fairPart is kept of every limit that hosts share, for the time in which
+	// they differ in their count of hosts.
+	fairPart = 0.85
+	// lateCredit is the worth of a late answer against that of a punctual one.
+	lateCredit = 0.2
+	// crossDomain and crossRegion are the worth that a crossing must gain: it
+	// delays answers and the links are shared by all traffic.
+	crossDomain = 0.2
+	crossRegion = 0.15
+	// regionRoundTrip is the usual time to another region and back.
+	regionRoundTrip = 24 * time.Millisecond
+)
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,270 @@
+package gateway
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"peridotrail/internal/boottime"
+	"peridotrail/internal/catalog"
+	"peridotrail/internal/kvstore"
+	"peridotrail/internal/placement"
+	"peridotrail/internal/registration"
+	"peridotrail/internal/routing"
+)
+
+// state is what the host believes of the deployment. It is the replica's handler;
+// requests read the table and the hosts without a lock.
+type state struct {
+	settings Settings
+	schema   Schema
+	logger   log.Logger
+	pool     *placement.Pool
+	limits   *limits
+	// onUpstreams is called with the upstreams that are known, after each change.
+	onUpstreams func([]catalog.Upstream)
+
+	table atomic.Pointer[routing.Table]
+	hosts atomic.Pointer[[]catalog.Host]
+
+	mu        sync.Mutex // guards the fields below
+	upstreams *catalog.Set[catalog.Upstream]
+	members   *catalog.Set[catalog.Host]
+	evacuated map[string]bool
+}
+
+func newState(settings Settings, schema Schema, logger log.Logger, limits *limits) *state {
+	s := &state{
+		settings:  settings,
+		schema:    schema,
+		logger:    logger,
+		limits:    limits,
+		upstreams: catalog.NewSet[catalog.Upstream](),
+		members:   catalog.NewSet[catalog.Host](),
+		evacuated: map[string]bool{},
+	}
+	s.hosts.Store(&[]catalog.Host{})
+	s.pool = placement.NewPool(placement.Settings{
+		FailureDomain:   settings.FailureDomain,
+		Region:          settings.Region,
+		Regions:         settings.Regions,
+		LateCredit:      lateCredit,
+		CrossDomain:     crossDomain,
+		CrossRegion:     crossRegion,
+		RegionRoundTrip: regionRoundTrip,
+		MaxShift:        settings.MaxShift / 2,
+		ColdBound:       s.coldBound,
+	})
+	return s
+}
+
+// coldBound is this host's part of what a cold upstream bears, shared among the
+// hosts of the region.
+func (s *state) coldBound(service string) float64 {
+	table := s.table.Load()
+	if table == nil {
+		return 1
+	}
+	known := table.Service(service)
+	if known == nil || known.ColdRate <= 0 {
+		return 0
+	}
+	sharers := 0
+	for _, host := range *s.hosts.Load() {
+		if host.Region == s.settings.Region {
+			sharers++
+		}
+	}
+	return (known.ColdRate*s.settings.ColdExcess + s.settings.ColdSlack) * fairPart / float64(max(sharers, 1))
+}
+
+// Reset implements replica.Handler.
+func (s *state) Reset(entries []kvstore.Entry, recovered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	if recovered {
+		s.outageEnded(now)
+	}
+	present := make(map[string]bool, len(entries))
+	members := map[string]bool{}
+	s.evacuated = map[string]bool{}
+	for _, entry := range entries {
+		s.apply(entry, now)
+		if kind, id := s.schema.Classify(entry.Key); kind == ItemUpstream {
+			present[id] = true
+		}
+		if key, ok := strings.CutPrefix(entry.Key, registration.Prefix); ok {
+			members[key] = true
+		}
+	}
+	s.upstreams.Retain(present, now)
+	s.members.Retain(members, now)
+	s.publish()
+}
+
+// Apply implements replica.Handler.
+func (s *state) Apply(entries []kvstore.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	for _, entry := range entries {
+		s.apply(entry, now)
+	}
+	s.publish()
+}
+
+// StoreLost implements replica.Handler.
+func (s *state) StoreLost(error) {}
+
+// StoreRegained implements replica.Handler.
+func (s *state) StoreRegained() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outageEnded(boottime.Now())
+}
+
+func (s *state) outageEnded(now boottime.Instant) {
+	s.upstreams.OutageEnded(now)
+	s.members.OutageEnded(now)
+}
+
+// expire drops members whose entries did not come back after an outage.
+func (s *state) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	gone := append(s.upstreams.Expire(now), s.members.Expire(now)...)
+	if len(gone) == 0 {
+		return
+	}
+	_ = level.Info(s.logger).Log("event", "entries absent after outage", "ids", strings.Join(gone, " "))
+	s.publish()
+}
+
+// apply takes one entry. The caller holds mu.
+func (s *state) apply(entry kvstore.Entry, now boottime.Instant) {
+	if key, ok := strings.CutPrefix(entry.Key, registration.Prefix); ok {
+		s.applyHost(key, entry, now)
+		return
+	}
+	switch kind, id := s.schema.Classify(entry.Key); kind {
+	case ItemPolicy:
+		s.applyPolicy(entry)
+	case ItemUpstream:
+		s.applyUpstream(id, entry, now)
+	case ItemEvacuation:
+		if entry.Exists() {
+			s.evacuated[id] = true
+		} else {
+			delete(s.evacuated, id)
+		}
+		_ = level.Info(s.logger).Log("event", "evacuation", "domain", id, "active", entry.Exists(), "revision", entry.Revision)
+	case ItemOther:
+	}
+}
+
+func (s *state) applyPolicy(entry kvstore.Entry) {
+	if !entry.Exists() {
+		return // a policy once in force stays until the next one
+	}
+	document, err := s.schema.Policy(entry.Value)
+	if err != nil {
+		_ = level.Error(s.logger).Log("event", "policy rejected", "revision", entry.Revision, "err", err)
+		return
+	}
+	if current := s.table.Load(); current != nil && document.Version <= current.Version() {
+		return
+	}
+	table, err := routing.NewTable(document)
+	if err != nil {
+		_ = level.Error(s.logger).Log("event", "policy rejected", "revision", entry.Revision, "err", err)
+		return
+	}
+	s.table.Store(table)
+	_ = level.Info(s.logger).Log("event", "policy in force", "version", document.Version, "revision", entry.Revision, "routes", len(document.Routes))
+}
+
+func (s *state) applyUpstream(id string, entry kvstore.Entry, now boottime.Instant) {
+	if !entry.Exists() {
+		s.upstreams.Remove(id, now)
+		_ = level.Info(s.logger).Log("event", "upstream gone", "upstream", id)
+		return
+	}
+	upstream, err := s.schema.Upstream(id, entry.Value, now)
+	if err != nil {
+		s.upstreams.Remove(id, now)
+		_ = level.Warn(s.logger).Log("event", "upstream entry rejected", "upstream", id, "revision", entry.Revision, "err", err)
+		return
+	}
+	s.upstreams.Put(id, upstream)
+	_ = level.Info(s.logger).Log("event", "upstream", "upstream", id, "service", upstream.Service, "domain", upstream.FailureDomain, "draining", upstream.Draining, "revision", entry.Revision)
+}
+
+func (s *state) applyHost(key string, entry kvstore.Entry, now boottime.Instant) {
+	if !entry.Exists() {
+		s.members.Remove(key, now)
+		return
+	}
+	var host catalog.Host
+	if err := json.Unmarshal(entry.Value, &host); err != nil || host.Entry == "" {
+		_ = level.Warn(s.logger).Log("event", "host entry rejected", "key", key, "err", err)
+		return
+	}
+	s.members.Put(key, host)
+}
+
+// publish makes the picture visible to requests. The caller holds mu.
+func (s *state) publish() {
+	upstreams := s.upstreams.All()
+	s.pool.SetUpstreams(upstreams, cloneSet(s.evacuated))
+	s.onUpstreams(upstreams)
+	hosts := distinct(s.members.All())
+	s.hosts.Store(&hosts)
+	s.limits.update(s.table.Load(), shareOf(hosts, s.settings), len(hosts), boottime.Now())
+}
+
+// distinct keeps the newest incarnation of each host.
+func distinct(all []catalog.Host) []catalog.Host {
+	newest := map[string]int{}
+	hosts := make([]catalog.Host, 0, len(all))
+	for _, host := range all {
+		at, ok := newest[host.Name]
+		switch {
+		case !ok:
+			newest[host.Name] = len(hosts)
+			hosts = append(hosts, host)
+		case host.Incarnation > hosts[at].Incarnation:
+			hosts[at] = host
+		}
+	}
+	return hosts
+}
+
+func cloneSet(set map[string]bool) map[string]bool {
+	clone := make(map[string]bool, len(set))
+	for key := range set {
+		clone[key] = true
+	}
+	return clone
+}
+
+// shareOf is this host's part of the limits of client accounts: every failure
+// domain has the same part, divided among its hosts.
+func shareOf(hosts []catalog.Host, settings Settings) float64 {
+	domains := map[string]int{settings.FailureDomain: 0}
+	known := false
+	for _, host := range hosts {
+		domains[host.FailureDomain]++
+		known = known || host.Name == settings.Host
+	}
+	own := domains[settings.FailureDomain]
+	if !known {
+		own++
+	}
+	return 1 / float64(len(domains)*own)
+}
--- a/internal/kvstore/errors.go
+++ b/internal/kvstore/errors.go
@@ -16,6 +16,7 @@
 	KindConflict                            // the key does not have the expected revision
 	KindLeaseExpired                        // the lease has ended
 	KindInvalid                             // the store rejected the arguments
+	KindCompacted                           // the history after the given revision is no longer kept
 )
 
 // String returns the lower-case name of the kind.
@@ -29,6 +30,8 @@
 		return "conflict"
 	case KindLeaseExpired:
 		return "lease expired"
+	case KindCompacted:
+		return "compacted"
 	default:
 		return "invalid"
 	}
--- /dev/null
+++ b/internal/placement/upstream.go
@@ -0,0 +1,117 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"peridotrail/internal/boottime"
+	"peridotrail/internal/catalog"
+	"peridotrail/internal/quota"
+)
+
+// Load is what an upstream reported with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+const (
+	// loadMemory is how fast a report of an upstream's load loses its worth.
+	loadMemory = 1500 * time.Millisecond
+	// trustRecovery is how fast trust in an upstream returns without new failures.
+	trustRecovery = 3 * time.Second
+	// slownessRecovery is how fast a slow upstream is believed normal again.
+	slownessRecovery = 6 * time.Second
+	slownessWeight   = 0.2
+	// failureWeight is the part of the trust that one failure takes.
+	failureWeight = 0.35
+	successWeight = 0.08
+	// coldSlowdown is how much longer a cold upstream works.
+	coldSlowdown = 2.0
+	// objectsRemembered bounds the objects that an upstream is believed to know.
+	objectsRemembered = 512
+)
+
+// upstream is what a host believes of one upstream.
+type upstream struct {
+	catalog.Upstream
+	region string
+
+	inflight int
+	others   float64          // requests of other hosts there, by the last report
+	reported boottime.Instant // when that report came
+	slots    int
+
+	slowness   float64 // observed over expected work
+	slownessAt boottime.Instant
+	trust      float64 // chance that a request is answered, by outcomes
+	trustAt    boottime.Instant
+	coldSends  *quota.Window // sends in the last second while cold
+	objects    map[string]boottime.Instant
+}
+
+func newUpstream(entry catalog.Upstream, region string) *upstream {
+	return &upstream{
+		Upstream: entry, region: region, slots: max(entry.Slots, 1),
+		slowness: 1, trust: 1,
+		coldSends: quota.NewWindow(time.Second),
+		objects:   map[string]boottime.Instant{},
+	}
+}
+
+func (u *upstream) cold(now boottime.Instant) bool { return now.Before(u.ColdUntil) }
+
+// occupancy is the expected number of requests at the upstream.
+func (u *upstream) occupancy(now boottime.Instant) float64 {
+	age := now.Sub(u.reported)
+	return float64(u.inflight) + u.others*decay(age, loadMemory)
+}
+
+func (u *upstream) report(load Load, now boottime.Instant) {
+	if load.Slots > 0 {
+		u.slots = load.Slots
+	}
+	others := max(0, float64(load.Running+load.Waiting-u.inflight))
+	u.others = (u.others*decay(now.Sub(u.reported), loadMemory) + others) / 2
+	u.reported = now
+}
+
+func (u *upstream) currentTrust(now boottime.Instant) float64 {
+	return 1 - (1-u.trust)*decay(now.Sub(u.trustAt), trustRecovery)
+}
+
+func (u *upstream) succeeded(now boottime.Instant) {
+	t := u.currentTrust(now)
+	u.trust, u.trustAt = t+successWeight*(1-t), now
+}
+
+func (u *upstream) failed(now boottime.Instant) {
+	u.trust, u.trustAt = u.currentTrust(now)*(1-failureWeight), now
+}
+
+func (u *upstream) currentSlowness(now boottime.Instant) float64 {
+	return 1 + (u.slowness-1)*decay(now.Sub(u.slownessAt), slownessRecovery)
+}
+
+// observe takes the ratio of observed to expected work.
+func (u *upstream) observe(ratio float64, now boottime.Instant) {
+	ratio = min(max(ratio, 0.3), 20)
+	s := u.currentSlowness(now)
+	u.slowness, u.slownessAt = s+slownessWeight*(ratio-s), now
+}
+
+func (u *upstream) remember(object string, now boottime.Instant) {
+	if object == "" {
+		return
+	}
+	if len(u.objects) >= objectsRemembered {
+		clear(u.objects)
+	}
+	u.objects[object] = now
+}
+
+func decay(age, memory time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp(-float64(age) / float64(memory))
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,251 @@
+// Package replica follows a store: it keeps a handler informed of every change
+// and knows until when its picture is proved to be current.
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"peridotrail/internal/boottime"
+	"peridotrail/internal/kvstore"
+)
+
+// Handler takes the changes of the store. Its methods are called by one goroutine
+// at a time.
+type Handler interface {
+	// Reset replaces the whole picture. recovered is set if the store had been
+	// out of reach.
+	Reset(entries []kvstore.Entry, recovered bool)
+	// Apply takes changed entries; those with revision zero are deleted.
+	Apply(entries []kvstore.Entry)
+	// StoreLost and StoreRegained tell of outages as this host sees them.
+	StoreLost(err error)
+	StoreRegained()
+}
+
+// Options configures a Replica.
+type Options struct {
+	Feed    kvstore.Feed
+	Handler Handler
+	Logger  log.Logger
+	// ProofInterval is the time between two proofs that the picture is current.
+	ProofInterval time.Duration
+}
+
+const (
+	// watchWait is how long one watch waits for a change.
+	watchWait = 20 * time.Second
+	// watchPause batches the changes of a storm.
+	watchPause = 150 * time.Millisecond
+	// callTimeout bounds each call that does not wait.
+	callTimeout = 1500 * time.Millisecond
+	// catchUpWait is how long a watch may lag behind a proved revision before its
+	// connection is taken for dead.
+	catchUpWait = 400 * time.Millisecond
+	// retryLeast and retryMost bound the pause after a failed call.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = 1 * time.Second
+)
+
+// Replica follows a store. Create it with New and start it with Run.
+type Replica struct {
+	options Options
+
+	applied atomic.Uint64 // revision up to which the handler was informed
+	proved  atomic.Int64  // boottime.Instant at which the picture was last proved current
+	lost    atomic.Bool
+
+	mu     sync.Mutex // guards cancel and wake
+	cancel context.CancelFunc
+	wake   chan struct{} // closed and replaced when applied grows
+}
+
+// New returns a replica that has seen nothing.
+func New(options Options) *Replica {
+	return &Replica{options: options, wake: make(chan struct{})}
+}
+
+// Proof returns the last instant at which the picture is known to have been
+// current, zero if there is none.
+func (r *Replica) Proof() boottime.Instant { return boottime.Instant(r.proved.Load()) }
+
+// Run follows the store until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	wait.Go(func() { r.prove(ctx) })
+	r.follow(ctx)
+	wait.Wait()
+}
+
+func (r *Replica) follow(ctx context.Context) {
+	backoff := retryLeast
+	loaded := false
+	for ctx.Err() == nil {
+		err := r.step(ctx, &loaded)
+		switch {
+		case err == nil:
+			backoff = retryLeast
+			pause(ctx, watchPause)
+		case kvstore.IsKind(err, kvstore.KindCompacted):
+			loaded = false
+			_ = level.Warn(r.options.Logger).Log("event", "store history lost", "applied", r.applied.Load())
+		default:
+			pause(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, retryMost)
+		}
+	}
+}
+
+// step makes one snapshot or one watch.
+func (r *Replica) step(ctx context.Context, loaded *bool) error {
+	if !*loaded {
+		if err := r.load(ctx); err != nil {
+			r.failed(err)
+			return err
+		}
+		*loaded = true
+		return nil
+	}
+	watch, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	r.setCancel(cancel)
+	defer cancel()
+	entries, at, err := r.options.Feed.Watch(watch, "", kvstore.Revision(r.applied.Load()), watchWait)
+	if err != nil {
+		return err
+	}
+	r.regained()
+	if len(entries) > 0 {
+		r.options.Handler.Apply(entries)
+	}
+	r.advance(at)
+	return nil
+}
+
+func (r *Replica) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := boottime.Now()
+	entries, at, err := r.options.Feed.Snapshot(ctx, "")
+	if err != nil {
+		return err
+	}
+	recovered := r.lost.Load()
+	r.regained()
+	r.options.Handler.Reset(entries, recovered)
+	r.advance(at)
+	r.noteProof(sent)
+	return nil
+}
+
+// advance notes that the handler knows all changes up to a revision.
+func (r *Replica) advance(at kvstore.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.applied.Store(max(r.applied.Load(), uint64(at)))
+	close(r.wake)
+	r.wake = make(chan struct{})
+}
+
+// prove asks at intervals for the store's revision. The picture was current when
+// the call was sent if it holds all changes up to the answer.
+func (r *Replica) prove(ctx context.Context) {
+	for ctx.Err() == nil {
+		interval := r.options.ProofInterval
+		if !r.proveOnce(ctx) {
+			interval = min(interval, retryMost)/2 + rand.N(retryLeast)
+		}
+		pause(ctx, interval)
+	}
+}
+
+func (r *Replica) proveOnce(ctx context.Context) bool {
+	if r.applied.Load() == 0 {
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := boottime.Now()
+	at, err := r.options.Feed.Current(call)
+	if err != nil {
+		r.failed(err)
+		return false
+	}
+	if !r.awaitApplied(ctx, at) {
+		r.restartWatch()
+		if !r.awaitApplied(ctx, at) {
+			return false
+		}
+	}
+	r.regained()
+	r.noteProof(sent)
+	return true
+}
+
+// awaitApplied waits until the handler knows all changes up to a revision.
+func (r *Replica) awaitApplied(ctx context.Context, at kvstore.Revision) bool {
+	timer := time.NewTimer(catchUpWait)
+	defer timer.Stop()
+	for {
+		r.mu.Lock()
+		wake := r.wake
+		r.mu.Unlock()
+		if r.applied.Load() >= uint64(at) {
+			return true
+		}
+		select {
+		case <-wake:
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (r *Replica) noteProof(sent boottime.Instant) {
+	r.proved.Store(max(r.proved.Load(), int64(sent)))
+}
+
+func (r *Replica) setCancel(cancel context.CancelFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cancel = cancel
+}
+
+// restartWatch ends a watch whose connection may be dead.
+func (r *Replica) restartWatch() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel != nil {
+		r.cancel()
+	}
+}
+
+func (r *Replica) failed(err error) {
+	if !r.lost.Swap(true) {
+		_ = level.Warn(r.options.Logger).Log("event", "store lost", "err", err, "applied", r.applied.Load())
+		r.options.Handler.StoreLost(err)
+	}
+}
+
+func (r *Replica) regained() {
+	if r.lost.Swap(false) {
+		_ = level.Info(r.options.Logger).Log("event", "store regained", "applied", r.applied.Load())
+		r.options.Handler.StoreRegained()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
