Move tokens of account rates between hosts; reload settings; reconnect faster

Change: hosts lend tokens by datagram, deducted before they are added; SIGHUP and silent changes reload the settings file; calls are retried within 250 ms while the store is lost; an upstream that refuses connections counts as cold.

--- a/cmd/peridotraild/gateway.go
+++ b/cmd/peridotraild/gateway.go
@@ -1,10 +1,16 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
 	"peridotrail/internal/gateway"
@@ -29,22 +35,66 @@
 			Required: true,
 		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			settings, store, err := platform.LoadSettings(c.String("settings"))
-			if err != nil {
-				return err
-			}
-			debug.SetGCPercent(collectorPercent)
-			if settings.MemoryLimit > 0 {
-				debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * memoryPart))
-			}
-			return gateway.New(gateway.Options{
-				Settings: settings,
-				Store:    platform.NewStore(store),
-				Schema:   platform.Schema{},
-				Dialect:  platform.Dialect{},
-				Logger:   observe.NewLogger(os.Stdout, "info"),
-				Metrics:  observe.NewRegistry(),
-			}).Run(ctx)
+			return runGateway(ctx, c.String("settings"))
 		},
 	}
 }
+
+// runGateway serves until ctx ends and reloads the settings file when it changes.
+func runGateway(ctx context.Context, path string) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP) // first, since the signal ends a process that does not expect it
+	defer signal.Stop(hangup)
+	settings, store, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(collectorPercent)
+	if settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * memoryPart))
+	}
+	logger := observe.NewLogger(os.Stdout, "info")
+	g := gateway.New(gateway.Options{
+		Settings: settings,
+		Store:    platform.NewStore(store),
+		Schema:   platform.Schema{},
+		Dialect:  platform.Dialect{},
+		Logger:   logger,
+		Metrics:  observe.NewRegistry(),
+	})
+	go reload(ctx, path, hangup, logger, g)
+	return g.Run(ctx)
+}
+
+// filePollInterval is how often the settings file is looked at for a change that
+// no signal tells of.
+const filePollInterval = 2 * time.Second
+
+// reload reads the settings file again after a signal or a change of its content,
+// until ctx ends. A file that can't be used leaves the settings as they are.
+func reload(ctx context.Context, path string, hangup <-chan os.Signal, logger log.Logger, g *gateway.Gateway) {
+	ticker := time.NewTicker(filePollInterval)
+	defer ticker.Stop()
+	last, _ := os.ReadFile(path) // an unreadable file differs from the next readable one
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			signalled = true
+		case <-ticker.C:
+		}
+		content, err := os.ReadFile(path)
+		if err == nil && !signalled && bytes.Equal(content, last) {
+			continue
+		}
+		last = content
+		settings, _, err := platform.LoadSettings(path)
+		if err != nil {
+			_ = level.Error(logger).Log("event", "settings not reloaded", "err", err)
+			continue
+		}
+		g.Reload(settings)
+	}
+}
--- a/internal/catalog/members.go
+++ b/internal/catalog/members.go
@@ -18,6 +18,7 @@
 type Host struct {
 	Name          string `json:"name"`
 	Entry         string `json:"entry"` // IP:port for callers
+	Peer          string `json:"peer"`  // IP:port for datagrams of other hosts
 	FailureDomain string `json:"failureDomain"`
 	Region        string `json:"region"`
 	Incarnation   int64  `json:"incarnation"` // start of its process, nanoseconds since 1970
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -221,7 +221,7 @@
 	if x.account == nil || x.admitted {
 		return nil
 	}
-	ok, wait := x.gateway.limits.takeRate(x.account.Name, boottime.Now())
+	ok, wait := x.gateway.limits.takeRate(x.request.Context(), x.account.Name)
 	if !ok {
 		return notRun(problem.TypeRateExceeded, "client account "+x.account.Name).After(wait)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
 	"peridotrail/internal/boottime"
@@ -33,7 +34,7 @@
 
 // Gateway is one entry host.
 type Gateway struct {
-	settings Settings
+	settings *liveSettings
 	dialect  Dialect
 	logger   log.Logger
 	store    Store
@@ -51,16 +52,17 @@
 
 // New returns a gateway that serves nothing yet.
 func New(o Options) *Gateway {
+	settings := newLiveSettings(o.Settings)
 	g := &Gateway{
-		settings: o.Settings,
+		settings: settings,
 		dialect:  o.Dialect,
 		logger:   o.Logger,
 		store:    o.Store,
-		limits:   newLimits(o.Settings),
+		limits:   newLimits(settings),
 		splitter: newSplitter(),
 		counters: newCounters(o.Metrics),
 	}
-	g.state = newState(o.Settings, o.Schema, o.Logger, g.limits)
+	g.state = newState(settings, o.Schema, o.Logger, g.limits)
 	g.transports = newTransports(g.connectionBound)
 	g.state.onUpstreams = g.transports.retain
 	g.replica = replica.New(replica.Options{
@@ -122,12 +124,12 @@
 	registration.Run(ctx, registration.Options{
 		Store: g.store,
 		Host: catalog.Host{
-			Name: g.settings.Host, Entry: g.settings.ListenCallers,
-			FailureDomain: g.settings.FailureDomain, Region: g.settings.Region,
+			Name: g.settings.get().Host, Entry: g.settings.get().ListenCallers, Peer: g.settings.get().ListenPeers,
+			FailureDomain: g.settings.get().FailureDomain, Region: g.settings.get().Region,
 			Incarnation: time.Now().UnixNano(),
 		},
 		Logger:   g.logger,
-		TTL:      max(hostLeaseTTL, g.settings.LeastLeaseTTL),
+		TTL:      max(hostLeaseTTL, g.settings.get().LeastLeaseTTL),
 		Interval: hostRenewal,
 	})
 }
@@ -136,5 +138,15 @@
 func (g *Gateway) keysCurrent(now boottime.Instant) (age time.Duration, ok bool) {
 	proof := g.replica.Proof()
 	age = now.Sub(proof)
-	return age, proof != 0 && age < g.settings.KeyAge-proofMargin
+	return age, proof != 0 && age < g.settings.get().KeyAge-proofMargin
+}
+
+// Reload puts new settings in force. The name, the place and the listeners of a
+// running host stay as they are.
+func (g *Gateway) Reload(settings Settings) {
+	if g.settings.replace(settings) {
+		_ = level.Warn(g.logger).Log("event", "settings need a restart", "detail", "name, place or listeners differ")
+	}
+	g.state.republish()
+	_ = level.Info(g.logger).Log("event", "settings reloaded")
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"peridotrail/internal/boottime"
+	"peridotrail/internal/lending"
 	"peridotrail/internal/quota"
 	"peridotrail/internal/routing"
 )
@@ -12,23 +16,40 @@
 // limits are this host's parts of the limits that all hosts share. It is safe for
 // concurrent use.
 type limits struct {
-	settings Settings
+	settings *liveSettings
 
 	mu      sync.Mutex // guards the fields below
 	hosts   int
 	share   float64
-	buckets map[string]*quota.Bucket       // by client account
+	buckets map[uint64]*rateBucket         // by the hash of the client account
 	repeats map[string]*quota.RepeatBudget // by service
+	ask     func(account uint64, want float64) bool
+}
+
+// rateBucket is a bucket with the requests that wait for borrowed tokens.
+type rateBucket struct {
+	quota.Bucket
+	arrived chan struct{} // closed and replaced when an answer comes
 }
 
-func newLimits(settings Settings) *limits {
+func newLimits(settings *liveSettings) *limits {
 	return &limits{
 		settings: settings, hosts: 1,
-		buckets: map[string]*quota.Bucket{},
+		buckets: map[uint64]*rateBucket{},
 		repeats: map[string]*quota.RepeatBudget{},
+		ask:     func(uint64, float64) bool { return false },
 	}
 }
 
+// lendBy makes the limits borrow tokens through an exchange.
+func (l *limits) lendBy(exchange *lending.Exchange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ask = exchange.Ask
+}
+
+func accountHash(name string) uint64 { return xxhash.Sum64String(name) }
+
 // update divides the limits of a policy anew.
 func (l *limits) update(table *routing.Table, share float64, hosts int, now boottime.Instant) {
 	l.mu.Lock()
@@ -37,43 +58,112 @@
 	if table == nil {
 		return
 	}
+	present := make(map[uint64]bool, len(l.buckets))
 	for _, account := range table.Accounts() {
 		if account.Rate <= 0 {
-			delete(l.buckets, account.Name)
 			continue
 		}
-		bucket := l.buckets[account.Name]
+		hash := accountHash(account.Name)
+		present[hash] = true
+		bucket := l.buckets[hash]
 		if bucket == nil {
-			bucket = &quota.Bucket{}
-			l.buckets[account.Name] = bucket
+			bucket = &rateBucket{arrived: make(chan struct{})}
+			l.buckets[hash] = bucket
 		}
 		bucket.SetLimit(account.Rate*share, max(account.Burst*share, 1), now)
 	}
+	for hash := range l.buckets {
+		if !present[hash] {
+			delete(l.buckets, hash)
+		}
+	}
 	for _, budget := range l.repeats {
 		budget.Slack = l.repeatSlack()
 	}
 }
 
 func (l *limits) repeatSlack() float64 {
-	return l.settings.RepeatSlack * fairPart / float64(l.hosts)
+	return l.settings.get().RepeatSlack * fairPart / float64(l.hosts)
+}
+
+// borrowWait is how long a request waits for borrowed tokens: a round trip to the
+// farthest region and some queueing.
+const borrowWait = 60 * time.Millisecond
+
+// takeRate spends one request of an account's rate. If this host has none left it
+// asks others and waits for their answer.
+func (l *limits) takeRate(ctx context.Context, account string) (bool, time.Duration) {
+	hash := accountHash(account)
+	ok, wait, arrived := l.tryRate(hash, true)
+	if ok || arrived == nil {
+		return ok, wait
+	}
+	timer := time.NewTimer(borrowWait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-arrived:
+		case <-timer.C:
+			return false, wait
+		case <-ctx.Done():
+			return false, wait
+		}
+		if ok, wait, arrived = l.tryRate(hash, false); ok || arrived == nil {
+			return ok, wait
+		}
+	}
 }
 
-// takeRate spends one request of an account's rate.
-func (l *limits) takeRate(account string, now boottime.Instant) (bool, time.Duration) {
+// tryRate takes a token. Without one it returns a channel that is closed when an
+// answer of another host comes, nil if none is expected.
+func (l *limits) tryRate(hash uint64, first bool) (bool, time.Duration, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	bucket := l.buckets[account]
+	bucket := l.buckets[hash]
 	if bucket == nil {
-		return true, 0
+		return true, 0, nil
+	}
+	now := boottime.Now()
+	if first {
+		bucket.Demand(now)
+	}
+	ok, wait := bucket.Take(now)
+	expected := false
+	if want := bucket.Wanted(now); want > 0 {
+		expected = l.ask(hash, want)
+	}
+	if ok || !expected {
+		return ok, wait, nil
+	}
+	return false, wait, bucket.arrived
+}
+
+// Lend implements lending.Lender.
+func (l *limits) Lend(account uint64, want float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if bucket := l.buckets[account]; bucket != nil {
+		return bucket.Lend(want, boottime.Now())
+	}
+	return 0
+}
+
+// Receive implements lending.Lender.
+func (l *limits) Receive(account uint64, granted float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if bucket := l.buckets[account]; bucket != nil {
+		bucket.Borrow(granted, boottime.Now())
+		close(bucket.arrived)
+		bucket.arrived = make(chan struct{})
 	}
-	return bucket.Take(now)
 }
 
 // returnRate gives back a request that was not sent.
 func (l *limits) returnRate(account string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if bucket := l.buckets[account]; bucket != nil {
+	if bucket := l.buckets[accountHash(account)]; bucket != nil {
 		bucket.Return()
 	}
 }
@@ -96,7 +186,7 @@
 func (l *limits) budget(service string) *quota.RepeatBudget {
 	budget := l.repeats[service]
 	if budget == nil {
-		budget = quota.NewRepeatBudget(l.settings.RepeatWindow, l.settings.RepeatRatio*fairPart, l.repeatSlack())
+		budget = quota.NewRepeatBudget(l.settings.get().RepeatWindow, l.settings.get().RepeatRatio*fairPart, l.repeatSlack())
 		l.repeats[service] = budget
 	}
 	return budget
--- a/internal/gateway/lookup.go
+++ b/internal/gateway/lookup.go
@@ -25,7 +25,7 @@
 		http.Error(w, "no entry host is known", http.StatusServiceUnavailable)
 		return
 	}
-	g.dialect.WriteLookup(w, addresses, min(lookupLifetime, g.settings.LookupLifetimeMost))
+	g.dialect.WriteLookup(w, addresses, min(lookupLifetime, g.settings.get().LookupLifetimeMost))
 }
 
 // nearest returns the hosts of the caller's failure domain, those of its region
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"peridotrail/internal/boottime"
+	"peridotrail/internal/lending"
 )
 
 const (
@@ -30,6 +33,12 @@
 	if err != nil {
 		return err
 	}
+	exchange, err := lending.Listen(g.settings.get().ListenPeers, g.limits, g.logger, boottime.Now)
+	if err != nil {
+		return err
+	}
+	g.limits.lendBy(exchange)
+	g.state.setPeers(exchange.SetPeers)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	registered, withdraw := context.WithCancel(background)
@@ -37,22 +46,23 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { g.replica.Run(background) })
 	duties.Go(func() { g.expire(background) })
+	duties.Go(func() { exchange.Run(background) })
 	duties.Go(func() { g.register(registered) })
-	_ = level.Info(g.logger).Log("event", "started", "host", g.settings.Host, "domain", g.settings.FailureDomain, "region", g.settings.Region)
+	_ = level.Info(g.logger).Log("event", "started", "host", g.settings.get().Host, "domain", g.settings.get().FailureDomain, "region", g.settings.get().Region)
 
 	<-ctx.Done()
 	g.shutdown(servers, withdraw)
 	stop()
 	duties.Wait()
-	_ = level.Info(g.logger).Log("event", "stopped", "host", g.settings.Host)
+	_ = level.Info(g.logger).Log("event", "stopped", "host", g.settings.get().Host)
 	return nil
 }
 
 // shutdown stops the host without cutting a request: callers learn that it
 // leaves, then new requests are refused, then the last ones end.
 func (g *Gateway) shutdown(servers []*http.Server, withdraw context.CancelFunc) {
-	_ = level.Info(g.logger).Log("event", "leaving", "grace", g.settings.Grace)
-	grace := g.settings.Grace
+	_ = level.Info(g.logger).Log("event", "leaving", "grace", g.settings.get().Grace)
+	grace := g.settings.get().Grace
 	end, cancel := context.WithTimeout(context.Background(), time.Duration(float64(grace)*finishBefore))
 	defer cancel()
 	g.leaving.Store(true)
@@ -77,9 +87,9 @@
 		address string
 		handler http.HandlerFunc
 	}{
-		{g.settings.ListenCallers, g.requests},
-		{g.settings.ListenReady, g.readiness},
-		{g.settings.ListenLookups, g.lookups},
+		{g.settings.get().ListenCallers, g.requests},
+		{g.settings.get().ListenReady, g.readiness},
+		{g.settings.get().ListenLookups, g.lookups},
 	} {
 		listener, err := net.Listen("tcp4", each.address)
 		if err != nil {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 
 	"github.com/go-faster/errors"
 
@@ -101,15 +102,33 @@
 		placed.Done(placement.Report{Outcome: placement.OutcomeCancelled}, now)
 		return answer{result: resultCancelled}
 	}
-	placed.Done(placement.Report{Outcome: placement.OutcomeFailed}, now)
 	x.logAttempt(placed, err)
 	var failure *forward.Error
-	if errors.As(err, &failure) && failure.Executed == problem.ExecutedNo {
+	known := errors.As(err, &failure)
+	placed.Done(placement.Report{Outcome: outcomeOf(failure)}, now)
+	if known && failure.Executed == problem.ExecutedNo {
 		return answer{result: resultNotRun}
 	}
 	return answer{result: resultUnknown}
 }
 
+// outcomeOf says what a failure tells of the upstream. failure is nil if the
+// answer broke off.
+func outcomeOf(failure *forward.Error) placement.Outcome {
+	if failure == nil || failure.Phase != forward.PhaseConnect {
+		return placement.OutcomeFailed
+	}
+	var full *forward.ConnectionLimitError
+	switch {
+	case errors.As(failure, &full):
+		return placement.OutcomeNotRun
+	case errors.Is(failure, syscall.ECONNREFUSED):
+		return placement.OutcomeRefused
+	default:
+		return placement.OutcomeUnreachable
+	}
+}
+
 // read takes the whole body of a response, or its beginning if it is long.
 func read(response *http.Response) (answer, error) {
 	var buffer bytes.Buffer
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Settings are the static settings of one host.
 type Settings struct {
@@ -12,6 +15,7 @@
 	ListenCallers string // IP:port for requests
 	ListenReady   string // IP:port for the readiness check
 	ListenLookups string // IP:port for look-ups
+	ListenPeers   string // IP:port for datagrams of other hosts
 
 	MemoryLimit int64 // bytes; zero: no limit
 	Descriptors int   // zero: no limit
@@ -70,3 +74,27 @@
 	// regionRoundTrip is the usual time to another region and back.
 	regionRoundTrip = 24 * time.Millisecond
 )
+
+// liveSettings holds the settings in force, which a reload replaces.
+type liveSettings struct{ current atomic.Pointer[Settings] }
+
+func newLiveSettings(s Settings) *liveSettings {
+	live := &liveSettings{}
+	live.current.Store(&s)
+	return live
+}
+
+// get returns the settings in force. They must not be changed.
+func (l *liveSettings) get() *Settings { return l.current.Load() }
+
+// replace puts new settings in force. What a running host can't change stays: its
+// name, its place and its listeners. It reports whether any of these differed.
+func (l *liveSettings) replace(s Settings) (identityDiffers bool) {
+	old := l.get()
+	identityDiffers = s.Host != old.Host || s.FailureDomain != old.FailureDomain || s.Region != old.Region ||
+		s.ListenCallers != old.ListenCallers || s.ListenReady != old.ListenReady || s.ListenLookups != old.ListenLookups || s.ListenPeers != old.ListenPeers
+	s.Host, s.FailureDomain, s.Region = old.Host, old.FailureDomain, old.Region
+	s.ListenCallers, s.ListenReady, s.ListenLookups, s.ListenPeers = old.ListenCallers, old.ListenReady, old.ListenLookups, old.ListenPeers
+	l.current.Store(&s)
+	return identityDiffers
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/json"
+	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -20,13 +24,15 @@
 // state is what the host believes of the deployment. It is the replica's handler;
 // requests read the table and the hosts without a lock.
 type state struct {
-	settings Settings
+	settings *liveSettings
 	schema   Schema
 	logger   log.Logger
 	pool     *placement.Pool
 	limits   *limits
 	// onUpstreams is called with the upstreams that are known, after each change.
 	onUpstreams func([]catalog.Upstream)
+	// onPeers is called with the other hosts, nearest first, after each change.
+	onPeers func([]netip.AddrPort)
 
 	table atomic.Pointer[routing.Table]
 	hosts atomic.Pointer[[]catalog.Host]
@@ -37,7 +43,7 @@
 	evacuated map[string]bool
 }
 
-func newState(settings Settings, schema Schema, logger log.Logger, limits *limits) *state {
+func newState(settings *liveSettings, schema Schema, logger log.Logger, limits *limits) *state {
 	s := &state{
 		settings:  settings,
 		schema:    schema,
@@ -46,18 +52,21 @@
 		upstreams: catalog.NewSet[catalog.Upstream](),
 		members:   catalog.NewSet[catalog.Host](),
 		evacuated: map[string]bool{},
+		onPeers:   func([]netip.AddrPort) {},
 	}
 	s.hosts.Store(&[]catalog.Host{})
+	initial := settings.get()
 	s.pool = placement.NewPool(placement.Settings{
-		FailureDomain:   settings.FailureDomain,
-		Region:          settings.Region,
-		Regions:         settings.Regions,
+		FailureDomain:   initial.FailureDomain,
+		Region:          initial.Region,
+		Regions:         initial.Regions,
 		LateCredit:      lateCredit,
 		CrossDomain:     crossDomain,
 		CrossRegion:     crossRegion,
 		RegionRoundTrip: regionRoundTrip,
-		MaxShift:        settings.MaxShift / 2,
+		MaxShift:        initial.MaxShift / 2,
 		ColdBound:       s.coldBound,
+		ColdStart:       s.coldStart,
 	})
 	return s
 }
@@ -75,11 +84,21 @@
 	}
 	sharers := 0
 	for _, host := range *s.hosts.Load() {
-		if host.Region == s.settings.Region {
+		if host.Region == s.settings.get().Region {
 			sharers++
 		}
 	}
-	return (known.ColdRate*s.settings.ColdExcess + s.settings.ColdSlack) * fairPart / float64(max(sharers, 1))
+	return (known.ColdRate*s.settings.get().ColdExcess + s.settings.get().ColdSlack) * fairPart / float64(max(sharers, 1))
+}
+
+// coldStart is how long an upstream of a service is cold after its start.
+func (s *state) coldStart(service string) time.Duration {
+	if table := s.table.Load(); table != nil {
+		if known := table.Service(service); known != nil {
+			return known.ColdStart
+		}
+	}
+	return 0
 }
 
 // Reset implements replica.Handler.
@@ -218,6 +237,13 @@
 	s.members.Put(key, host)
 }
 
+// republish divides the limits anew under changed settings.
+func (s *state) republish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.publish()
+}
+
 // publish makes the picture visible to requests. The caller holds mu.
 func (s *state) publish() {
 	upstreams := s.upstreams.All()
@@ -225,7 +251,40 @@
 	s.onUpstreams(upstreams)
 	hosts := distinct(s.members.All())
 	s.hosts.Store(&hosts)
-	s.limits.update(s.table.Load(), shareOf(hosts, s.settings), len(hosts), boottime.Now())
+	s.onPeers(peersOf(hosts, *s.settings.get()))
+	s.limits.update(s.table.Load(), shareOf(hosts, *s.settings.get()), len(hosts), boottime.Now())
+}
+
+// setPeers sets the receiver of the other hosts' addresses.
+func (s *state) setPeers(f func([]netip.AddrPort)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onPeers = f
+}
+
+// peersOf returns the addresses of the other hosts, nearest first.
+func peersOf(hosts []catalog.Host, settings Settings) []netip.AddrPort {
+	distance := func(h catalog.Host) int {
+		switch {
+		case h.FailureDomain == settings.FailureDomain:
+			return 0
+		case h.Region == settings.Region:
+			return 1
+		default:
+			return 2
+		}
+	}
+	ordered := slices.Clone(hosts)
+	slices.SortStableFunc(ordered, func(a, b catalog.Host) int { return cmp.Compare(distance(a), distance(b)) })
+	var peers []netip.AddrPort
+	for _, host := range ordered {
+		address, err := netip.ParseAddrPort(host.Peer)
+		if err != nil || host.Name == settings.Host {
+			continue // a host of another version may not lend
+		}
+		peers = append(peers, address)
+	}
+	return peers
 }
 
 // distinct keeps the newest incarnation of each host.
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -7,13 +7,19 @@
 
 // Outcomes.
 const (
-	OutcomeAnswered  Outcome = iota + 1 // the upstream answered, well or not
-	OutcomeFailed                       // the upstream failed or did not answer
-	OutcomeNotRun                       // the upstream refused to run it
-	OutcomeMoved                        // the address belongs to another upstream
-	OutcomeCancelled                    // the caller left or the time was over
+	OutcomeAnswered    Outcome = iota + 1 // the upstream answered, well or not
+	OutcomeFailed                         // the upstream failed or did not answer
+	OutcomeNotRun                         // the upstream refused to run it
+	OutcomeMoved                          // the address belongs to another upstream
+	OutcomeCancelled                      // the caller left or the time was over
+	OutcomeUnreachable                    // a connection could not be made in time
+	OutcomeRefused                        // the connection was refused: no process listens
 )
 
+// unreachedRestart is the number of connections in a row that fail to open after
+// which an upstream is taken for one that starts anew. Single ones are lost packets.
+const unreachedRestart = 2
+
 // Report is what a finished request tells of its upstream.
 type Report struct {
 	Outcome Outcome
@@ -33,6 +39,12 @@
 		p.learn(report, now)
 	case OutcomeFailed, OutcomeNotRun:
 		u.failed(now)
+	case OutcomeUnreachable, OutcomeRefused:
+		u.failed(now)
+		u.unreached++
+		if report.Outcome == OutcomeRefused || u.unreached >= unreachedRestart {
+			u.suspect(now, pool.settings.ColdStart(u.Service))
+		}
 	case OutcomeMoved:
 		u.Draining = true
 	case OutcomeCancelled:
@@ -50,6 +62,7 @@
 		return
 	}
 	u.succeeded(now)
+	u.unreached = 0
 	if p.work.Sticky {
 		u.remember(p.work.Object, now)
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -35,6 +35,8 @@
 	// ColdBound returns the requests a second that this host may send to a cold
 	// upstream of a service.
 	ColdBound func(service string) float64
+	// ColdStart returns how long an upstream of a service is cold after its start.
+	ColdStart func(service string) time.Duration
 }
 
 // Pool places work on the known upstreams. It is safe for concurrent use.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -47,6 +47,7 @@
 	trustAt    boottime.Instant
 	coldSends  *quota.Window // sends in the last second while cold
 	objects    map[string]boottime.Instant
+	unreached  int // connections in a row that could not be opened
 }
 
 func newUpstream(entry catalog.Upstream, region string) *upstream {
@@ -58,6 +59,15 @@
 	}
 }
 
+// suspect takes an unreachable upstream for one that is starting: its objects are
+// forgotten and it is treated as cold, also by a host that can't read its entry.
+func (u *upstream) suspect(now boottime.Instant, coldStart time.Duration) {
+	clear(u.objects)
+	if coldStart > 0 {
+		u.ColdUntil = max(u.ColdUntil, now.Add(coldStart))
+	}
+}
+
 func (u *upstream) cold(now boottime.Instant) bool { return now.Before(u.ColdUntil) }
 
 // occupancy is the expected number of requests at the upstream.
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -1,16 +1,32 @@
 // Package quota bounds what one host spends of limits that all hosts share.
 //
 // Each host spends a fixed part of a limit, so that the parts never exceed the
-// whole whatever the hosts can hear of each other. All types are pure and not
-// safe for concurrent use; time comes from the caller.
+// whole whatever the hosts can hear of each other. Tokens may move between hosts:
+// the giver deducts them before the receiver adds them, so that a lost message
+// loses tokens and never doubles them.
+//
+// All types are pure and not safe for concurrent use; time comes from the caller.
 package quota
 
 import (
+	"math"
 	"time"
 
 	"peridotrail/internal/boottime"
 )
 
+const (
+	// BorrowTerm is how long borrowed tokens can be spent. It bounds the tokens
+	// that exist beside those of the buckets.
+	BorrowTerm = 800 * time.Millisecond
+	// borrowSpan is the time for which a host asks for tokens in advance.
+	borrowSpan = 600 * time.Millisecond
+	// reserveSpan is the time for which a lender keeps tokens for its own requests.
+	reserveSpan = 400 * time.Millisecond
+	// demandMemory is the time over which the demand on a bucket is averaged.
+	demandMemory = 700 * time.Millisecond
+)
+
 // Bucket is a host's part of the rate and burst of a client account.
 type Bucket struct {
 	rate   float64 // tokens a second
@@ -18,6 +34,11 @@
 	tokens float64
 	at     boottime.Instant
 	set    bool
+
+	borrowed      float64
+	borrowedUntil boottime.Instant
+
+	demand float64 // requests a second, averaged
 }
 
 // SetLimit changes the host's part. A new bucket starts empty: an earlier process
@@ -32,9 +53,19 @@
 	b.tokens = min(b.tokens, burst)
 }
 
+// Demand counts a request that wants a token.
+func (b *Bucket) Demand(now boottime.Instant) {
+	b.refill(now)
+	b.demand += 1 / demandMemory.Seconds()
+}
+
 // Take spends one token. If there is none it returns the time until there is.
 func (b *Bucket) Take(now boottime.Instant) (ok bool, wait time.Duration) {
 	b.refill(now)
+	if b.borrowed >= 1 {
+		b.borrowed--
+		return true, 0
+	}
 	if b.tokens >= 1 {
 		b.tokens--
 		return true, 0
@@ -48,9 +79,42 @@
 // Return gives back a token whose request was not sent.
 func (b *Bucket) Return() { b.tokens = min(b.tokens+1, b.burst) }
 
+// Wanted returns the tokens to borrow now, zero if the bucket can do without.
+func (b *Bucket) Wanted(now boottime.Instant) float64 {
+	b.refill(now)
+	need := b.demand*borrowSpan.Seconds() - b.tokens - b.borrowed - b.rate*borrowSpan.Seconds()
+	if need <= 0 && b.tokens+b.borrowed >= 1 {
+		return 0
+	}
+	return math.Ceil(max(need, 1))
+}
+
+// Lend deducts up to want whole tokens that this host does not need itself.
+func (b *Bucket) Lend(want float64, now boottime.Instant) float64 {
+	b.refill(now)
+	spare := b.tokens - max(0, b.demand-b.rate)*reserveSpan.Seconds() - min(b.demand*reserveSpan.Seconds(), b.tokens/2)
+	granted := math.Floor(min(want, spare))
+	if granted < 1 {
+		return 0
+	}
+	b.tokens -= granted
+	return granted
+}
+
+// Borrow adds tokens that another host has deducted.
+func (b *Bucket) Borrow(granted float64, now boottime.Instant) {
+	b.refill(now)
+	b.borrowed += granted
+	b.borrowedUntil = now.Add(BorrowTerm)
+}
+
 func (b *Bucket) refill(now boottime.Instant) {
 	if elapsed := now.Sub(b.at); elapsed > 0 {
 		b.tokens = min(b.burst, b.tokens+b.rate*elapsed.Seconds())
+		b.demand *= math.Exp(-float64(elapsed) / float64(demandMemory))
 		b.at = now
 	}
+	if b.borrowed > 0 && b.borrowedUntil.Before(now) {
+		b.borrowed = 0
+	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -48,9 +48,10 @@
 	// catchUpWait is how long a watch may lag behind a proved revision before its
 	// connection is taken for dead.
 	catchUpWait = 400 * time.Millisecond
-	// retryLeast and retryMost bound the pause after a failed call.
-	retryLeast = 100 * time.Millisecond
-	retryMost  = 1 * time.Second
+	// retryLeast and retryMost bound the pause after a failed call. A host must be
+	// current again within a second or two of the end of an outage.
+	retryLeast = 60 * time.Millisecond
+	retryMost  = 250 * time.Millisecond
 )
 
 // Replica follows a store. Create it with New and start it with Run.
@@ -117,9 +118,12 @@
 	defer cancel()
 	entries, at, err := r.options.Feed.Watch(watch, "", kvstore.Revision(r.applied.Load()), watchWait)
 	if err != nil {
+		if !kvstore.IsKind(err, kvstore.KindCompacted) && ctx.Err() == nil {
+			r.failed(err)
+		}
 		return err
 	}
-	r.regained()
+	r.regained() // before the changes: entries may have lapsed during the outage
 	if len(entries) > 0 {
 		r.options.Handler.Apply(entries)
 	}
@@ -158,7 +162,7 @@
 	for ctx.Err() == nil {
 		interval := r.options.ProofInterval
 		if !r.proveOnce(ctx) {
-			interval = min(interval, retryMost)/2 + rand.N(retryLeast)
+			interval = retryMost/2 + rand.N(retryMost/2)
 		}
 		pause(ctx, interval)
 	}
@@ -176,6 +180,9 @@
 		r.failed(err)
 		return false
 	}
+	if r.lost.Load() {
+		r.restartWatch()
+	}
 	if !r.awaitApplied(ctx, at) {
 		r.restartWatch()
 		if !r.awaitApplied(ctx, at) {
