Place sticky work where objects are kept; learn how many an upstream remembers

Change: the chance that an upstream knows an object is learned by the number of other objects sent since and by whether it is the object's home; objects are kept once a region where the domains can't remember all; crossings cost by the kilobyte; requests that end by their time tell of slow upstreams; log lines for every request, through a bounded writer.

--- a/cmd/peridotraild/gateway.go
+++ b/cmd/peridotraild/gateway.go
@@ -53,14 +53,15 @@
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * memoryPart))
 	}
-	logger := observe.NewLogger(os.Stdout, "info")
+	registry := observe.NewRegistry()
+	logger := observe.NewLogger(observe.NewBoundedWriter(os.Stdout, registry), "info")
 	g := gateway.New(gateway.Options{
 		Settings: settings,
 		Store:    platform.NewStore(store),
 		Schema:   platform.Schema{},
 		Dialect:  platform.Dialect{},
 		Logger:   logger,
-		Metrics:  observe.NewRegistry(),
+		Metrics:  registry,
 	})
 	go reload(ctx, path, hangup, logger, g)
 	return g.Run(ctx)
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -39,9 +40,7 @@
 	if err != nil && a.rest != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if a.response.StatusCode >= http.StatusBadRequest {
-		x.log("request failed", a.response.StatusCode, "upstream's own answer", took)
-	}
+	x.log("request answered", a.response.StatusCode, "", took)
 	return nil
 }
 
@@ -60,19 +59,42 @@
 	p.Write(w)
 }
 
-// log writes one line for a request that was not served.
+// log writes one line for the end of a request, with what decided it.
 func (x *exchange) log(event string, status int, detail string, took time.Duration) {
-	line := []any{"event", event, "request", x.call.ID, "status", status, "detail", detail, "took_ms", took.Milliseconds(), "attempts", x.attempts, "last", x.last}
+	if !x.gateway.lines.allow(status < http.StatusBadRequest) {
+		return
+	}
+	line := []any{
+		"event", event, "request", x.call.ID, "status", status, "took_ms", took.Milliseconds(),
+		"attempts", x.attempts, "keys_age_ms", boottime.Now().Sub(x.gateway.replica.Proof()).Milliseconds(),
+	}
+	if detail != "" {
+		line = append(line, "detail", detail, "last", x.last)
+	}
 	if x.table != nil {
 		line = append(line, "version", x.table.Version())
 	}
+	if x.account != nil {
+		line = append(line, "account", x.account.Name)
+	}
 	if x.route != nil {
-		line = append(line, "route", x.route.Name, "service", x.service)
+		line = append(line, "route", x.route.Name, "service", x.service, "object", x.call.Object)
+	}
+	if x.placed != nil {
+		in := x.placed.Inputs()
+		line = append(line, "upstream", x.placed.Upstream.ID, "domain", x.placed.Upstream.FailureDomain,
+			"wait_ms", in.Wait.Milliseconds(), "work_ms", in.Work.Milliseconds(), "warm", math.Round(in.Warm*100)/100, "home", in.Home, "cold", in.Cold,
+			"load", math.Round(in.Load*10)/10, "load_age_ms", in.LoadAge.Milliseconds())
 	}
 	_ = level.Info(x.gateway.logger).Log(line...)
 }
 
 // logAttempt writes one line for an attempt without an answer.
 func (x *exchange) logAttempt(placed *placement.Placement, err error) {
-	_ = level.Info(x.gateway.logger).Log("event", "attempt failed", "request", x.call.ID, "upstream", placed.Upstream.ID, "expected_ms", placed.Expected().Milliseconds(), "err", err)
+	if !x.gateway.lines.allow(false) {
+		return
+	}
+	in := placed.Inputs()
+	_ = level.Info(x.gateway.logger).Log("event", "attempt failed", "request", x.call.ID, "upstream", placed.Upstream.ID,
+		"wait_ms", in.Wait.Milliseconds(), "work_ms", in.Work.Milliseconds(), "err", err)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,6 +27,7 @@
 	header  http.Header // end-to-end headers of the request
 	limit   boottime.Instant
 
+	placed     *placement.Placement // of the last attempt
 	tried      []string
 	attempts   int
 	admitted   bool   // a token of the account's rate was spent
@@ -212,6 +213,7 @@
 		x.gateway.limits.firstSend(x.service, now)
 	}
 	x.attempts++
+	x.placed = placed
 	x.tried = append(x.tried, placed.Upstream.ID)
 	return placed, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,7 @@
 	splitter   *splitter
 	transports *transports
 	counters   *counters
+	lines      *lineBudget
 
 	leaving  atomic.Bool // look-ups and readiness say that the host leaves
 	refusing atomic.Bool // new requests are refused
@@ -61,6 +62,7 @@
 		limits:   newLimits(settings),
 		splitter: newSplitter(),
 		counters: newCounters(o.Metrics),
+		lines:    &lineBudget{logger: o.Logger},
 	}
 	g.state = newState(settings, o.Schema, o.Logger, g.limits)
 	g.transports = newTransports(g.connectionBound)
--- /dev/null
+++ b/internal/gateway/lines.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// linesPerSecond bounds the lines about requests that were not answered.
+	linesPerSecond = 400
+	// successLinesPerSecond bounds those about answered requests.
+	successLinesPerSecond = 100
+)
+
+// lineBudget bounds the log lines about requests. What is left out is counted and
+// told by one line a second.
+type lineBudget struct {
+	logger             log.Logger
+	failures, answered atomic.Int64 // lines of this second
+	leftOut            atomic.Int64
+}
+
+// allow reports whether a line may be written.
+func (b *lineBudget) allow(success bool) bool {
+	lines, most := &b.failures, int64(linesPerSecond)
+	if success {
+		lines, most = &b.answered, successLinesPerSecond
+	}
+	if lines.Add(1) <= most {
+		return true
+	}
+	b.leftOut.Add(1)
+	return false
+}
+
+// run starts a new budget each second until ctx ends.
+func (b *lineBudget) run(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		b.failures.Store(0)
+		b.answered.Store(0)
+		if n := b.leftOut.Swap(0); n > 0 {
+			_ = level.Info(b.logger).Log("event", "request lines left out", "count", n)
+		}
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -47,6 +47,7 @@
 	duties.Go(func() { g.replica.Run(background) })
 	duties.Go(func() { g.expire(background) })
 	duties.Go(func() { exchange.Run(background) })
+	duties.Go(func() { g.lines.run(background) })
 	duties.Go(func() { g.register(registered) })
 	_ = level.Info(g.logger).Log("event", "started", "host", g.settings.get().Host, "domain", g.settings.get().FailureDomain, "region", g.settings.get().Region)
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -69,10 +69,24 @@
 		placed.Done(placement.Report{Outcome: placement.OutcomeFailed}, boottime.Now())
 		return answer{result: resultUnknown}
 	}
-	placed.Done(placement.Report{Outcome: placement.OutcomeAnswered, Failure: response.StatusCode >= http.StatusInternalServerError, Load: reply.Load}, boottime.Now())
+	placed.Done(x.report(response.StatusCode, reply, len(a.body)), boottime.Now())
 	return a
 }
 
+// report tells the placement of an answer. An upstream that gives up at the
+// deadline it was given has not failed.
+func (x *exchange) report(status int, reply Reply, bodyBytes int) placement.Report {
+	r := placement.Report{Outcome: placement.OutcomeAnswered, Load: reply.Load}
+	r.Kilobytes = float64(int64(bodyBytes)+max(x.payload.Length(), 0)) / 1024
+	switch {
+	case status == http.StatusGatewayTimeout:
+		r.Outcome = placement.OutcomeExpired
+	case status >= http.StatusInternalServerError:
+		r.Failure = true
+	}
+	return r
+}
+
 // promisesNotRun reports whether callers take a status for a promise that the
 // request has not run.
 func promisesNotRun(status int) bool {
@@ -99,7 +113,11 @@
 func (x *exchange) failed(ctx context.Context, placed *placement.Placement, err error) answer {
 	now := boottime.Now()
 	if ctx.Err() != nil {
-		placed.Done(placement.Report{Outcome: placement.OutcomeCancelled}, now)
+		outcome := placement.OutcomeExpired
+		if x.request.Context().Err() != nil {
+			outcome = placement.OutcomeCancelled
+		}
+		placed.Done(placement.Report{Outcome: outcome}, now)
 		return answer{result: resultCancelled}
 	}
 	x.logAttempt(placed, err)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -67,10 +67,10 @@
 	fairPart = 0.85
 	// lateCredit is the worth of a late answer against that of a punctual one.
 	lateCredit = 0.2
-	// crossDomain and crossRegion are the worth that a crossing must gain: it
-	// delays answers and the links are shared by all traffic.
-	crossDomain = 0.2
-	crossRegion = 0.15
+	// crossDomain and crossRegion are the worth that each kilobyte must gain that
+	// crosses: the links are shared by all traffic.
+	crossDomain = 0.03
+	crossRegion = 0.03
 	// regionRoundTrip is the usual time to another region and back.
 	regionRoundTrip = 24 * time.Millisecond
 )
--- /dev/null
+++ b/internal/observe/bounded.go
@@ -0,0 +1,67 @@
+package observe
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+
+	"peridotrail/internal/duty"
+)
+
+// lineBacklog is the number of log lines that may wait for a slow reader.
+const lineBacklog = 4096
+
+// BoundedWriter hands lines to a writer that may be slow or stuck. Write never
+// blocks: the oldest waiting lines are dropped and counted in the metric
+// duty.ring.log.drops.
+type BoundedWriter struct {
+	ring *duty.Ring[[]byte]
+	out  io.Writer
+	done sync.WaitGroup
+}
+
+// NewBoundedWriter starts the goroutine that writes to out.
+func NewBoundedWriter(out io.Writer, registry metrics.Registry) *BoundedWriter {
+	w := &BoundedWriter{out: out, ring: duty.NewRing(duty.RingOptions[[]byte]{
+		Name: "log", Capacity: lineBacklog, Full: duty.DropOldest, Metrics: registry,
+	})}
+	w.done.Go(w.drain)
+	return w
+}
+
+// Write implements io.Writer. It takes one whole line.
+func (w *BoundedWriter) Write(line []byte) (int, error) {
+	w.ring.TryPush(append([]byte(nil), line...))
+	return len(line), nil
+}
+
+// batchBytes is the size from which waiting lines are written out together.
+const batchBytes = 32 << 10
+
+func (w *BoundedWriter) drain() {
+	var batch []byte
+	for {
+		line, err := w.ring.Pop(context.Background())
+		if err != nil {
+			return // closed and empty
+		}
+		batch = append(batch[:0], line...)
+		for len(batch) < batchBytes {
+			more, ok := w.ring.TryPop()
+			if !ok {
+				break
+			}
+			batch = append(batch, more...)
+		}
+		_, _ = w.out.Write(batch) // there is no other place to report to
+	}
+}
+
+// Close writes the waiting lines out and stops. It waits for the writer, so it
+// must not be called while nobody reads it.
+func (w *BoundedWriter) Close() {
+	w.ring.Close()
+	w.done.Wait()
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -15,8 +15,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
 )
@@ -28,8 +26,8 @@
 	Region          string
 	Regions         map[string]string // region of each failure domain
 	LateCredit      float64           // credit of an answer after its objective
-	CrossDomain     float64           // cost of leaving the failure domain
-	CrossRegion     float64           // further cost of leaving the region
+	CrossDomain     float64           // cost of a kilobyte that leaves the failure domain
+	CrossRegion     float64           // further cost of a kilobyte that leaves the region
 	RegionRoundTrip time.Duration     // to another region
 	MaxShift        float64           // growth of the share that leaves the region, a window
 	// ColdBound returns the requests a second that this host may send to a cold
@@ -47,7 +45,8 @@
 	upstreams map[string]*upstream
 	services  map[string][]*upstream
 	estimates map[string]*estimate
-	evacuated map[string]bool // failure domains that get no work
+	warmths   map[string]*warmth // by service
+	evacuated map[string]bool    // failure domains that get no work
 	shift     shiftBound
 }
 
@@ -58,6 +57,7 @@
 		upstreams: map[string]*upstream{},
 		services:  map[string][]*upstream{},
 		estimates: map[string]*estimate{},
+		warmths:   map[string]*warmth{},
 		shift:     shiftBound{most: settings.MaxShift},
 	}
 }
@@ -83,52 +83,58 @@
 	p.upstreams = present
 }
 
-// Placement is a chosen upstream. Done must be called once.
-type Placement struct {
-	Upstream catalog.Upstream
-	Remote   bool // in another region
-
-	pool     *Pool
-	upstream *upstream
-	work     Work
-	start    boottime.Instant
-	wait     float64 // expected wait, ms
-	expected float64 // expected work of an upstream of usual speed, ms
-	cold     bool
-}
-
-// Expected returns the expected time to the answer.
-func (p *Placement) Expected() time.Duration { return fromMilliseconds(p.wait + p.expected) }
-
 // candidate is the valuation of one upstream.
 type candidate struct {
 	upstream *upstream
-	wait     float64
-	work     float64
+	home     bool
+	rank     int
+	sent     bool    // this host has sent the object there
+	warm     float64 // chance that the upstream knows the object
+	wait     float64 // expected until a slot is free, ms
+	workWarm float64 // ms
+	workCold float64 // ms
 	credit   float64
-	cold     bool
 }
 
+// work is the expected time in the slot, in ms.
+func (c *candidate) work() float64 { return c.warm*c.workWarm + (1-c.warm)*c.workCold }
+
 // Place chooses an upstream. It fails with a *RefusedError.
 func (p *Pool) Place(work Work, now boottime.Instant) (*Placement, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	estimate := p.estimate(work)
-	best, refusal := p.best(work, estimate, now)
+	best, refusal := p.best(work, now)
 	if best == nil {
 		return nil, refusal
 	}
 	u := best.upstream
+	placement := &Placement{
+		Upstream: u.Upstream, Remote: u.region != p.settings.Region,
+		pool: p, chosen: *best, work: work, start: now, cold: u.cold(now),
+		load: u.occupancy(now), loadAge: now.Sub(u.reported),
+	}
 	u.inflight++
-	if u.cold(now) {
+	u.served = true
+	if placement.cold {
 		u.coldSends.Add(1, now)
 	}
-	remote := u.region != p.settings.Region
-	p.shift.count(remote, now)
-	return &Placement{
-		Upstream: u.Upstream, Remote: remote, pool: p, upstream: u, work: work,
-		start: now, wait: best.wait, expected: best.work, cold: u.cold(now),
-	}, nil
+	if work.hasObject() {
+		u.memory.use(work.Object)
+	}
+	p.shift.count(placement.Remote, now)
+	return placement, nil
+}
+
+// hasObject reports whether upstreams may know the object of the work.
+func (w *Work) hasObject() bool { return w.Sticky && w.Object != "" }
+
+func (p *Pool) warmth(service string) *warmth {
+	w := p.warmths[service]
+	if w == nil {
+		w = newWarmth()
+		p.warmths[service] = w
+	}
+	return w
 }
 
 func (p *Pool) estimate(work Work) *estimate {
@@ -140,9 +146,14 @@
 	return e
 }
 
-func (p *Pool) best(work Work, e *estimate, now boottime.Instant) (*candidate, *RefusedError) {
+func (p *Pool) best(work Work, now boottime.Instant) (*candidate, *RefusedError) {
 	refusal := &RefusedError{Service: work.Service, Reason: ReasonNoUpstream, RetryAfter: noUpstreamRetry}
-	home := p.rendezvous(work)
+	e, w := p.estimate(work), p.warmth(work.Service)
+	var h homes
+	if work.hasObject() {
+		w.asked(work.Object, now)
+		h = p.homesOf(work.Service, work.Object, w)
+	}
 	shiftAllowed := p.shift.allows(now)
 	local := p.hasLocal(work)
 	var best *candidate
@@ -158,7 +169,7 @@
 			note(refusal, ReasonCold, coldRetry)
 			continue
 		}
-		c := p.value(u, work, e, u == home, now)
+		c := p.value(u, work, e, w, h, now)
 		if reason, after := hopeless(c, work, now); reason != "" {
 			note(refusal, reason, after)
 			continue
@@ -205,31 +216,11 @@
 	return bound <= 0 || float64(u.coldSends.Count(now)+1) <= max(bound, 1)
 }
 
-// rendezvous returns the upstream that all hosts of this failure domain pick for
-// the object of work, nil for work that is not sticky.
-func (p *Pool) rendezvous(work Work) *upstream {
-	if !work.Sticky || work.Object == "" {
-		return nil
-	}
-	var home *upstream
-	var highest uint64
-	local := false
-	for _, u := range p.services[work.Service] {
-		near := u.FailureDomain == p.settings.FailureDomain
-		if !p.eligible(u, work) || u.region != p.settings.Region || (local && !near) {
-			continue
-		}
-		score := xxhash.Sum64String(u.ID + "\x00" + work.Object)
-		if home == nil || (near && !local) || score > highest {
-			home, highest, local = u, score, near
-		}
-	}
-	return home
-}
-
 const (
 	// homeCredit makes hosts agree on where an object that nobody knows is served.
 	homeCredit = 0.15
+	// firstCredit makes a host try each upstream of its failure domain once.
+	firstCredit = 0.6
 	// latencyCost breaks ties towards the faster answer, per objective.
 	latencyCost = 0.05
 	// spread is the usual deviation of work relative to its mean.
@@ -238,35 +229,55 @@
 	spreadFloor = 4.0
 )
 
-func (p *Pool) value(u *upstream, work Work, e *estimate, home bool, now boottime.Instant) candidate {
-	_, known := u.objects[work.Object]
-	warm := !work.Sticky || work.Object == "" || known
-	c := candidate{upstream: u, cold: u.cold(now)}
+// value estimates what a request may expect of an upstream.
+func (p *Pool) value(u *upstream, work Work, e *estimate, w *warmth, h homes, now boottime.Instant) candidate {
+	c := candidate{upstream: u, warm: 1}
+	if work.hasObject() {
+		c.home = h.has(u)
+		c.rank, c.sent = u.memory.rank(work.Object)
+		c.warm = w.chance[homeIndex(c.home)][w.class(c.rank, c.sent)]
+	}
 	slow := u.currentSlowness(now)
-	if c.cold {
+	if u.cold(now) {
 		slow *= coldSlowdown
 	}
-	c.work = e.work(warm) * slow
+	c.workWarm, c.workCold = e.warm*slow, e.cold*slow
 	c.wait = u.expectedWait(e, slow, now)
-	latency := c.wait + c.work
+	away := 0.0
 	if u.region != p.settings.Region {
-		latency += milliseconds(p.settings.RegionRoundTrip)
+		away = milliseconds(p.settings.RegionRoundTrip)
+	}
+	answered := c.warm*p.credit(c.wait+away+c.workWarm, work, now) +
+		(1-c.warm)*p.credit(c.wait+away+c.workCold, work, now)
+	c.credit = u.currentTrust(now)*answered - p.crossing(u, e)
+	if c.home {
+		c.credit += homeCredit * (1 - c.warm)
+	}
+	if !u.served && u.FailureDomain == p.settings.FailureDomain {
+		c.credit += firstCredit
 	}
+	return c
+}
+
+// credit is what an answer after the given latency in ms is worth.
+func (p *Pool) credit(latency float64, work Work, now boottime.Instant) float64 {
 	deviation := spread*latency + spreadFloor
 	onTime := chance(milliseconds(work.Objective.Sub(now))-latency, deviation)
 	inTime := chance(milliseconds(work.Limit.Sub(now))-latency, deviation)
-	c.credit = u.currentTrust(now) * (onTime + p.settings.LateCredit*max(0, inTime-onTime))
-	c.credit -= latencyCost * latency / max(milliseconds(work.LatencyObjective), leastObjective)
+	return onTime + p.settings.LateCredit*max(0, inTime-onTime) -
+		latencyCost*latency/max(milliseconds(work.LatencyObjective), leastObjective)
+}
+
+// crossing is the cost of the bytes that leave the failure domain or the region.
+func (p *Pool) crossing(u *upstream, e *estimate) float64 {
+	cost := 0.0
 	if u.FailureDomain != p.settings.FailureDomain {
-		c.credit -= p.settings.CrossDomain
+		cost += p.settings.CrossDomain
 	}
 	if u.region != p.settings.Region {
-		c.credit -= p.settings.CrossRegion
+		cost += p.settings.CrossRegion
 	}
-	if home && !known {
-		c.credit += homeCredit
-	}
-	return c
+	return cost * e.kilobytes
 }
 
 // expectedWait is the time until a slot of the upstream is free, in ms.
@@ -290,13 +301,20 @@
 // hopeless says why a request should not be sent to an upstream.
 func hopeless(c candidate, work Work, now boottime.Instant) (Reason, time.Duration) {
 	left := milliseconds(work.Limit.Sub(now))
-	if c.wait+c.work > left {
+	expected := c.workWarm
+	if c.warm < likelyWarm {
+		expected = c.workCold
+	}
+	if c.wait+expected > left {
 		return ReasonDeadline, fromMilliseconds(c.wait)
 	}
 	objective := max(milliseconds(work.LatencyObjective), leastObjective)
-	most := max(milliseconds(work.Objective.Sub(now))-c.work, queueShare*objective)
+	most := max(milliseconds(work.Objective.Sub(now))-expected, queueShare*objective)
 	if c.wait > most {
 		return ReasonQueue, fromMilliseconds(c.wait - most)
 	}
 	return "", 0
 }
+
+// likelyWarm is the chance from which an upstream is taken to know an object.
+const likelyWarm = 0.4
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -27,8 +27,6 @@
 	successWeight = 0.08
 	// coldSlowdown is how much longer a cold upstream works.
 	coldSlowdown = 2.0
-	// objectsRemembered bounds the objects that an upstream is believed to know.
-	objectsRemembered = 512
 )
 
 // upstream is what a host believes of one upstream.
@@ -37,6 +35,7 @@
 	region string
 
 	inflight int
+	served   bool             // this host has sent a request there
 	others   float64          // requests of other hosts there, by the last report
 	reported boottime.Instant // when that report came
 	slots    int
@@ -46,7 +45,7 @@
 	trust      float64 // chance that a request is answered, by outcomes
 	trustAt    boottime.Instant
 	coldSends  *quota.Window // sends in the last second while cold
-	objects    map[string]boottime.Instant
+	memory     memory
 	unreached  int // connections in a row that could not be opened
 }
 
@@ -55,14 +54,14 @@
 		Upstream: entry, region: region, slots: max(entry.Slots, 1),
 		slowness: 1, trust: 1,
 		coldSends: quota.NewWindow(time.Second),
-		objects:   map[string]boottime.Instant{},
+		memory:    newMemory(),
 	}
 }
 
 // suspect takes an unreachable upstream for one that is starting: its objects are
 // forgotten and it is treated as cold, also by a host that can't read its entry.
 func (u *upstream) suspect(now boottime.Instant, coldStart time.Duration) {
-	clear(u.objects)
+	u.memory.forget()
 	if coldStart > 0 {
 		u.ColdUntil = max(u.ColdUntil, now.Add(coldStart))
 	}
@@ -109,16 +108,6 @@
 	u.slowness, u.slownessAt = s+slownessWeight*(ratio-s), now
 }
 
-func (u *upstream) remember(object string, now boottime.Instant) {
-	if object == "" {
-		return
-	}
-	if len(u.objects) >= objectsRemembered {
-		clear(u.objects)
-	}
-	u.objects[object] = now
-}
-
 func decay(age, memory time.Duration) float64 {
 	if age <= 0 {
 		return 1
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -28,6 +28,7 @@
 // sample to the nearer one.
 type estimate struct {
 	warm, cold float64 // milliseconds
+	kilobytes  float64 // of request and answer together
 }
 
 const (
@@ -36,13 +37,15 @@
 	// seedWarm and seedCold are the first guesses relative to the objective.
 	seedWarm = 0.45
 	seedCold = 1.4
+	// seedKilobytes is the first guess of the size of a request with its answer.
+	seedKilobytes = 4.0
 	// leastObjective keeps estimates positive for routes without an objective, in ms.
 	leastObjective = 20.0
 )
 
 func newEstimate(objective time.Duration) *estimate {
 	ms := max(milliseconds(objective), leastObjective)
-	return &estimate{warm: seedWarm * ms, cold: seedCold * ms}
+	return &estimate{warm: seedWarm * ms, cold: seedCold * ms, kilobytes: seedKilobytes}
 }
 
 // learn takes a sample in milliseconds, already freed of the upstream's slowness.
