Give slots of busy upstreams a price in the choice of upstream

Change: work is charged for the slot time it takes at an upstream that is more than 60% full; a request with no credit left is refused.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -221,6 +221,13 @@
 	homeCredit = 0.15
 	// firstCredit makes a host try each upstream of its failure domain once.
 	firstCredit = 0.6
+	// slotCost is the price of a slot for one objective at an upstream that is full:
+	// work that takes long there displaces work that would be punctual.
+	slotCost = 0.5
+	// slotCostFrom is the part of the slots in use from which they have a price.
+	slotCostFrom = 0.6
+	// leastCredit is the credit below which a request is refused.
+	leastCredit = 0.02
 	// latencyCost breaks ties towards the faster answer, per objective.
 	latencyCost = 0.05
 	// spread is the usual deviation of work relative to its mean.
@@ -249,7 +256,7 @@
 	}
 	answered := c.warm*p.credit(c.wait+away+c.workWarm, work, now) +
 		(1-c.warm)*p.credit(c.wait+away+c.workCold, work, now)
-	c.credit = u.currentTrust(now)*answered - p.crossing(u, e)
+	c.credit = u.currentTrust(now)*answered - p.crossing(u, e) - u.slotPrice(now)*c.work()/work.objectiveMS()
 	if c.home {
 		c.credit += homeCredit * (1 - c.warm)
 	}
@@ -259,13 +266,19 @@
 	return c
 }
 
+// slotPrice is the price of a slot for the time of one objective.
+func (u *upstream) slotPrice(now boottime.Instant) float64 {
+	used := u.occupancy(now)/float64(u.slots) - slotCostFrom
+	return slotCost * min(1, max(0, used/(1-slotCostFrom)))
+}
+
 // credit is what an answer after the given latency in ms is worth.
 func (p *Pool) credit(latency float64, work Work, now boottime.Instant) float64 {
 	deviation := spread*latency + spreadFloor
 	onTime := chance(milliseconds(work.Objective.Sub(now))-latency, deviation)
 	inTime := chance(milliseconds(work.Limit.Sub(now))-latency, deviation)
 	return onTime + p.settings.LateCredit*max(0, inTime-onTime) -
-		latencyCost*latency/max(milliseconds(work.LatencyObjective), leastObjective)
+		latencyCost*latency/work.objectiveMS()
 }
 
 // crossing is the cost of the bytes that leave the failure domain or the region.
@@ -308,11 +321,14 @@
 	if c.wait+expected > left {
 		return ReasonDeadline, fromMilliseconds(c.wait)
 	}
-	objective := max(milliseconds(work.LatencyObjective), leastObjective)
+	objective := work.objectiveMS()
 	most := max(milliseconds(work.Objective.Sub(now))-expected, queueShare*objective)
 	if c.wait > most {
 		return ReasonQueue, fromMilliseconds(c.wait - most)
 	}
+	if c.credit < leastCredit {
+		return ReasonQueue, fromMilliseconds(c.wait)
+	}
 	return "", 0
 }
 
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -21,6 +21,9 @@
 	Tried            []string                 // upstreams that must not be chosen again
 }
 
+// objectiveMS is the latency objective in ms, never zero.
+func (w *Work) objectiveMS() float64 { return max(milliseconds(w.LatencyObjective), leastObjective) }
+
 // estimate is what a host knows of the work of one route.
 //
 // The work on an object is short where the upstream has served the object lately
