--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -65,6 +65,9 @@
 	// fairPart is kept of every limit that hosts share, for the time in which
 	// they differ in their count of hosts.
 	fairPart = 0.85
+	// shiftPart is the part of the bound on shifts that hosts use, since each sees
+	// only its own requests.
+	shiftPart = 0.75
 	// lateCredit is the worth of a late answer against that of a punctual one.
 	lateCredit = 0.2
 	// crossDomain and crossRegion are the worth that each kilobyte must gain that
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -64,7 +64,7 @@
 		CrossDomain:     crossDomain,
 		CrossRegion:     crossRegion,
 		RegionRoundTrip: regionRoundTrip,
-		MaxShift:        initial.MaxShift / 2,
+		MaxShift:        initial.MaxShift * shiftPart,
 		ColdBound:       s.coldBound,
 		ColdStart:       s.coldStart,
 	})
