--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -128,12 +128,23 @@
 	}
 }
 
-// expired learns from a request whose time was over: its work takes longer than
-// it was given.
+// expired learns from a request whose time was over. Its work takes at least as
+// long as it was given, so it is a sample of work on an unknown object unless the
+// upstream is slow beyond that.
 func (p *Placement) expired(now boottime.Instant) {
-	e := p.pool.estimate(p.work)
-	if took := p.took(now); took > e.cold {
-		p.chosen.upstream.observe(took/e.work(p.chosen.warm >= likelyWarm), now)
+	took := p.took(now)
+	if p.cold || took <= 0 {
+		return
+	}
+	u, e := p.chosen.upstream, p.pool.estimate(p.work)
+	slow := u.currentSlowness(now)
+	sample := took / slow
+	if p.work.hasObject() && sample > e.middle() {
+		p.pool.warmth(p.work.Service).learn(p.chosen.home, p.chosen.rank, p.chosen.sent, false)
+	}
+	if sample > e.cold {
+		e.cold += sampleWeight * (sample - e.cold)
+		u.observe(took/e.cold, now)
 	}
 }
 
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -58,8 +58,7 @@
 		e.cold = e.warm
 		return true
 	}
-	middle := math.Sqrt(e.warm * e.cold)
-	if sample < middle {
+	if sample < e.middle() {
 		e.warm += sampleWeight * (sample - e.warm)
 		return true
 	}
@@ -67,6 +66,9 @@
 	return false
 }
 
+// middle separates samples of known objects from those of unknown ones.
+func (e *estimate) middle() float64 { return math.Sqrt(e.warm * e.cold) }
+
 func (e *estimate) work(warm bool) float64 {
 	if warm {
 		return e.warm
