Keep objects that a region can't remember in other regions

Cause: 72 active objects of one service exceeded what the upstreams of the smaller regions remember (15 each); they served most requests cold and timed out, and requests that timed out told nothing of the load. Change: such objects have no home in that region; expired requests count as load.

--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -7,17 +7,27 @@
 )
 
 // homes finds where the hosts agree to keep one object: at one upstream of each
-// failure domain, or at one upstream of each region if the domains can't remember
-// all objects. Hosts that know the same upstreams agree without a message.
+// failure domain, at one of each region if the domains can't remember all
+// objects, or only in other regions if the region can't either. Hosts that know
+// the same upstreams agree without a message.
 type homes struct {
 	byDomain map[string]*upstream
 	byRegion map[string]*upstream
-	regions  map[string]bool // whether the object is kept in each domain of the region
+	kept     map[string]extent // by region
 }
 
+// extent says how widely a region keeps an object.
+type extent uint8
+
+const (
+	keptNowhere   extent = iota // the region's upstreams can't remember it
+	keptOnce                    // at one upstream of the region
+	keptPerDomain               // at one upstream of each failure domain
+)
+
 // homesOf returns the homes of an object among the upstreams of a service.
 func (p *Pool) homesOf(service, object string, w *warmth) homes {
-	h := homes{byDomain: map[string]*upstream{}, byRegion: map[string]*upstream{}, regions: map[string]bool{}}
+	h := homes{byDomain: map[string]*upstream{}, byRegion: map[string]*upstream{}, kept: map[string]extent{}}
 	domains := map[string]int{}
 	regions := map[string]int{}
 	for _, u := range p.services[service] {
@@ -34,7 +44,10 @@
 			h.byRegion[u.region] = u
 		}
 	}
-	place := float64(xxhash.Sum64String(object)) / math.MaxUint64
+	largest := 0
+	for _, all := range regions {
+		largest = max(largest, all)
+	}
 	for region, all := range regions {
 		least := all
 		for domain, n := range domains {
@@ -42,15 +55,29 @@
 				least = min(least, n)
 			}
 		}
-		h.regions[region] = place < w.replicated(least, all)
+		switch {
+		case position(object, "domain") < w.replicated(least, all):
+			h.kept[region] = keptPerDomain
+		case all == largest || position(object, "region") < w.remembered(all):
+			h.kept[region] = keptOnce
+		}
 	}
 	return h
 }
 
+// position places an object between 0 and 1, the same on all hosts.
+func position(object, purpose string) float64 {
+	return float64(xxhash.Sum64String(purpose+"\x00"+object)) / math.MaxUint64
+}
+
 // has reports whether an upstream is a home of the object.
 func (h homes) has(u *upstream) bool {
-	if h.regions[u.region] {
+	switch h.kept[u.region] {
+	case keptPerDomain:
 		return h.byDomain[u.FailureDomain] == u
+	case keptOnce:
+		return h.byRegion[u.region] == u
+	default:
+		return false
 	}
-	return h.byRegion[u.region] == u
 }
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -142,6 +142,9 @@
 	if p.work.hasObject() && sample > e.middle() {
 		p.pool.warmth(p.work.Service).learn(p.chosen.home, p.chosen.rank, p.chosen.sent, false)
 	}
+	if sample > e.warm && now.Sub(u.reported) > loadMemory {
+		u.others, u.reported = max(u.others, float64(u.slots)), now // it says nothing while it answers nothing
+	}
 	if sample > e.cold {
 		e.cold += sampleWeight * (sample - e.cold)
 		u.observe(took/e.cold, now)
--- a/internal/placement/warmth.go
+++ b/internal/placement/warmth.go
@@ -106,3 +106,9 @@
 	}
 	return min(1, max(0, (fill*w.capacity-shared)/(own-shared)))
 }
+
+// remembered returns the part of the objects that a number of upstreams can
+// remember together.
+func (w *warmth) remembered(all int) float64 {
+	return min(1, fill*w.capacity*float64(all)/float64(max(len(w.active), 1)))
+}
