Make fewer store calls: answers of watches are proofs, changes gather

Change: a watch that answers proves the picture current as of its sending; a proof is sought when the last one has aged 0.4 of the key age; changes gather for a fifth of the time to put a policy in force.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,8 @@
 	g.transports = newTransports(g.connectionBound)
 	g.state.onUpstreams = g.transports.retain
 	g.replica = replica.New(replica.Options{
-		Feed: o.Store, Handler: g.state, Logger: o.Logger, ProofInterval: proofInterval,
+		Feed: o.Store, Handler: g.state, Logger: o.Logger,
+		ProofInterval: part(o.Settings.KeyAge, proofPart), Batch: part(o.Settings.PolicyDelay, batchPart),
 	})
 	return g
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -64,11 +64,11 @@
 func (g *Gateway) shutdown(servers []*http.Server, withdraw context.CancelFunc) {
 	_ = level.Info(g.logger).Log("event", "leaving", "grace", g.settings.get().Grace)
 	grace := g.settings.get().Grace
-	end, cancel := context.WithTimeout(context.Background(), time.Duration(float64(grace)*finishBefore))
+	end, cancel := context.WithTimeout(context.Background(), part(grace, finishBefore))
 	defer cancel()
 	g.leaving.Store(true)
 	withdraw()
-	time.Sleep(time.Duration(float64(grace) * refuseAfter))
+	time.Sleep(part(grace, refuseAfter))
 	g.refusing.Store(true)
 	var wait sync.WaitGroup
 	for _, server := range servers {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -21,6 +21,7 @@
 	Descriptors int   // zero: no limit
 
 	Grace              time.Duration // from SIGTERM until the process must have ended
+	PolicyDelay        time.Duration // from the acceptance of a policy until it is in force
 	KeyAge             time.Duration // from the withdrawal of a key to its last use, at most
 	LookupLifetimeMost time.Duration // of a look-up answer
 	LeastLeaseTTL      time.Duration // that the store grants
@@ -38,6 +39,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Grace:              10 * time.Second,
+		PolicyDelay:        2 * time.Second,
 		KeyAge:             5 * time.Second,
 		LookupLifetimeMost: 5 * time.Second,
 		LeastLeaseTTL:      time.Second,
@@ -50,9 +52,12 @@
 }
 
 const (
-	// proofInterval is the time between proofs that the policy is current. With
-	// the timeout of a failed proof and one retry it stays below the usual KeyAge.
-	proofInterval = 1500 * time.Millisecond
+	// proofPart is the part of KeyAge after which a new proof is sought that the
+	// keys are current. It leaves time for one call that fails and its repetition.
+	proofPart = 0.4
+	// batchPart is the part of the time to put a policy in force that changes
+	// gather before they are read.
+	batchPart = 0.2
 	// proofMargin is the part of KeyAge kept for the way to the upstream.
 	proofMargin = 400 * time.Millisecond
 	// hostLeaseTTL is how long a dead host stays registered.
@@ -78,6 +83,9 @@
 	regionRoundTrip = 24 * time.Millisecond
 )
 
+// part returns a part of a time.
+func part(of time.Duration, share float64) time.Duration { return time.Duration(float64(of) * share) }
+
 // liveSettings holds the settings in force, which a reload replaces.
 type liveSettings struct{ current atomic.Pointer[Settings] }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -34,15 +34,16 @@
 	Feed    kvstore.Feed
 	Handler Handler
 	Logger  log.Logger
-	// ProofInterval is the time between two proofs that the picture is current.
+	// ProofInterval is the age of the last proof that the picture is current at
+	// which the next one is sought.
 	ProofInterval time.Duration
+	// Batch is the pause between two watches, in which changes gather.
+	Batch time.Duration
 }
 
 const (
 	// watchWait is how long one watch waits for a change.
 	watchWait = 20 * time.Second
-	// watchPause batches the changes of a storm.
-	watchPause = 150 * time.Millisecond
 	// callTimeout bounds each call that does not wait.
 	callTimeout = 1500 * time.Millisecond
 	// catchUpWait is how long a watch may lag behind a proved revision before its
@@ -92,7 +93,7 @@
 		switch {
 		case err == nil:
 			backoff = retryLeast
-			pause(ctx, watchPause)
+			pause(ctx, r.options.Batch)
 		case kvstore.IsKind(err, kvstore.KindCompacted):
 			loaded = false
 			_ = level.Warn(r.options.Logger).Log("event", "store history lost", "applied", r.applied.Load())
@@ -116,6 +117,7 @@
 	watch, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	r.setCancel(cancel)
 	defer cancel()
+	sent := boottime.Now()
 	entries, at, err := r.options.Feed.Watch(watch, "", kvstore.Revision(r.applied.Load()), watchWait)
 	if err != nil {
 		if !kvstore.IsKind(err, kvstore.KindCompacted) && ctx.Err() == nil {
@@ -128,6 +130,7 @@
 		r.options.Handler.Apply(entries)
 	}
 	r.advance(at)
+	r.noteProof(sent)
 	return nil
 }
 
@@ -156,15 +159,19 @@
 	r.wake = make(chan struct{})
 }
 
-// prove asks at intervals for the store's revision. The picture was current when
-// the call was sent if it holds all changes up to the answer.
+// prove asks for the store's revision whenever the last proof grows old. The
+// picture was current when the call was sent if it holds all changes up to the
+// answer. Watches that answer are proofs as well.
 func (r *Replica) prove(ctx context.Context) {
 	for ctx.Err() == nil {
-		interval := r.options.ProofInterval
+		due := r.Proof().Add(r.options.ProofInterval)
+		if wait := due.Sub(boottime.Now()); wait > 0 && r.applied.Load() != 0 {
+			pause(ctx, wait)
+			continue
+		}
 		if !r.proveOnce(ctx) {
-			interval = retryMost/2 + rand.N(retryMost/2)
+			pause(ctx, retryMost/2+rand.N(retryMost/2))
 		}
-		pause(ctx, interval)
 	}
 }
 
