--- a/cmd/peridotraild/gateway.go
+++ b/cmd/peridotraild/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -55,6 +56,8 @@
 	}
 	registry := observe.NewRegistry()
 	logger := observe.NewLogger(observe.NewBoundedWriter(os.Stdout, registry), "info")
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.NewStdlibAdapter(log.With(logger, "event", "net/http")))
 	g := gateway.New(gateway.Options{
 		Settings: settings,
 		Store:    platform.NewStore(store),
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/entry/forward"
 	"peridotrail/internal/placement"
@@ -62,10 +64,13 @@
 	if refusal := x.authorise(); refusal != nil {
 		return refusal
 	}
-	body := http.MaxBytesReader(nil, x.request.Body, bodyBytes(x.table.Limits()))
-	payload, err := forward.ReadPayload(body, x.request.ContentLength)
+	most := bodyBytes(x.table.Limits())
+	if x.request.ContentLength > most {
+		return notRun(problem.TypeTooLarge, "the body is larger than the limit")
+	}
+	payload, err := forward.ReadPayload(http.MaxBytesReader(nil, x.request.Body, most), x.request.ContentLength)
 	if err != nil {
-		return notRun(problem.TypeMalformed, "the body could not be read: "+err.Error())
+		return unreadable(err)
 	}
 	x.payload = payload
 	x.service = g.splitter.choose(x.route)
@@ -77,6 +82,15 @@
 	return nil
 }
 
+// unreadable says why a body could not be read.
+func unreadable(err error) *problem.Problem {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return notRun(problem.TypeTooLarge, err.Error())
+	}
+	return notRun(problem.TypeMalformed, "the body could not be read: "+err.Error())
+}
+
 // defaultBodyBytes bounds a body where the policy does not.
 const defaultBodyBytes = 64 << 20
 
@@ -171,6 +185,8 @@
 		switch reply.result {
 		case resultAnswered:
 			return x.deliver(w, reply)
+		case resultTooLarge:
+			return problem.New(problem.TypeTooLarge, problem.ExecutedUnknown, "the body is larger than the limit")
 		case resultUnknown:
 			x.mayHaveRun = true
 		case resultCancelled:
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -26,6 +26,7 @@
 	resultNotRun    result = "not-run"   // nothing was sent, or the upstream did not run it
 	resultUnknown   result = "unknown"   // the upstream may have run it
 	resultCancelled result = "cancelled" // the time was over or the caller left
+	resultTooLarge  result = "too-large" // the rest of the caller's body exceeds the limit
 )
 
 // answer is what an attempt brought.
@@ -120,6 +121,11 @@
 		placed.Done(placement.Report{Outcome: outcome}, now)
 		return answer{result: resultCancelled}
 	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		placed.Done(placement.Report{Outcome: placement.OutcomeCancelled}, now)
+		return answer{result: resultTooLarge}
+	}
 	x.logAttempt(placed, err)
 	var failure *forward.Error
 	known := errors.As(err, &failure)
--- a/internal/problem/new.go
+++ b/internal/problem/new.go
@@ -12,6 +12,7 @@
 
 var kinds = map[Type]kind{
 	TypeMalformed:          {http.StatusBadRequest, "The request is malformed or ambiguous"},
+	TypeTooLarge:           {http.StatusRequestEntityTooLarge, "The request's body is too large"},
 	TypeNotFound:           {http.StatusNotFound, "There is no such service or resource"},
 	TypeUnauthenticated:    {http.StatusUnauthorized, "A valid key is required"},
 	TypeKeyWithdrawn:       {http.StatusUnauthorized, "The key was withdrawn"},
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -32,6 +32,7 @@
 // Problem types.
 const (
 	TypeMalformed          Type = "/problems/malformed-request"
+	TypeTooLarge           Type = "/problems/body-too-large"
 	TypeNotFound           Type = "/problems/not-found"
 	TypeUnauthenticated    Type = "/problems/unauthenticated"
 	TypeKeyWithdrawn       Type = "/problems/key-withdrawn"
