--- /dev/null
+++ b/internal/quota/main_test.go
@@ -0,0 +1,16 @@
+package quota
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the random tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/routing/table_test.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+)
+
+func document() Document {
+	route := func(name, host, prefix string) Route {
+		return Route{Name: name, Host: host, Prefix: prefix, Targets: []Target{{Service: "s", Weight: 1}}, Timeout: time.Second}
+	}
+	return Document{
+		Version:  7,
+		Services: []Service{{Name: "s"}},
+		Routes:   []Route{route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "i", "/a/")},
+		Accounts: []Account{{Name: "clinic", Keys: []string{"k1", "k2"}, HomeRegions: []string{"east", "west"}}},
+	}
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	table, err := NewTable(document())
+	require.NoError(t, err)
+	for path, want := range map[string]string{"/a/x": "short", "/a/b/x": "long", "/a/b": "short", "/a/": "short"} {
+		require.Equal(t, want, table.Route("h", path).Name, path)
+	}
+	require.Equal(t, "other", table.Route("i:8080", "/a/b/x").Name)
+	for _, path := range []string{"/a", "/", "/b/", ""} {
+		require.Nil(t, table.Route("h", path), path)
+	}
+	require.Nil(t, table.Route("j", "/a/x"))
+	require.Equal(t, 1, table.Route("h", "/a/x").MaxAttempts)
+}
+
+func TestOwner(t *testing.T) {
+	table, err := NewTable(document())
+	require.NoError(t, err)
+	require.Equal(t, "clinic", table.Owner("k2").Name)
+	require.Nil(t, table.Owner("k3"))
+	require.Nil(t, table.Owner(""))
+}
+
+func TestInvalidDocuments(t *testing.T) {
+	for name, change := range map[string]func(*Document){
+		"no service":      func(d *Document) { d.Routes[0].Targets = nil },
+		"unknown service": func(d *Document) { d.Routes[0].Targets[0].Service = "x" },
+		"prefix":          func(d *Document) { d.Routes[0].Prefix = "/a" },
+		"timeout":         func(d *Document) { d.Routes[0].Timeout = 0 },
+		"weight":          func(d *Document) { d.Routes[0].Targets[0].Weight = -1 },
+	} {
+		d := document()
+		change(&d)
+		_, err := NewTable(d)
+		var invalid *InvalidError
+		require.True(t, errors.As(err, &invalid), name)
+		require.Equal(t, Version(7), invalid.Version)
+	}
+}
+
+func TestHomeRegionsOfRouteAndAccountBothBind(t *testing.T) {
+	account := &Account{HomeRegions: []string{"east", "west"}}
+	for _, c := range []struct {
+		route   []string
+		account *Account
+		want    []string
+		bound   bool
+	}{
+		{nil, nil, nil, false},
+		{[]string{"east"}, nil, []string{"east"}, true},
+		{nil, account, []string{"east", "west"}, true},
+		{[]string{"west", "north"}, account, []string{"west"}, true},
+		{[]string{"north"}, account, []string{}, true},
+	} {
+		got, bound := HomeRegions(&Route{HomeRegions: c.route}, c.account)
+		require.Equal(t, c.want, got)
+		require.Equal(t, c.bound, bound)
+	}
+}
