--- a/cmd/peridotraild/gateway.go
+++ b/cmd/peridotraild/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"peridotrail/internal/gateway"
+	"peridotrail/internal/invariant"
 	"peridotrail/internal/observe"
 	"peridotrail/platform"
 )
@@ -25,6 +26,9 @@
 // memoryPart is the part of the memory limit at which the collector works harder.
 const memoryPart = 0.8
 
+// lastLinesWait is how long the end of the process waits for the last log lines.
+const lastLinesWait = 200 * time.Millisecond
+
 func gatewayCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "gateway",
@@ -34,15 +38,18 @@
 			Usage:    "the platform's settings file",
 			Sources:  cli.EnvVars(platform.SettingsVariable),
 			Required: true,
+		}, &cli.Uint16Flag{
+			Name:  "metrics-port",
+			Usage: "`PORT` of /metrics on the host's address; 0 serves none",
 		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return runGateway(ctx, c.String("settings"))
+			return runGateway(ctx, c.String("settings"), c.Uint16("metrics-port"))
 		},
 	}
 }
 
 // runGateway serves until ctx ends and reloads the settings file when it changes.
-func runGateway(ctx context.Context, path string) error {
+func runGateway(ctx context.Context, path string, metricsPort uint16) error {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP) // first, since the signal ends a process that does not expect it
 	defer signal.Stop(hangup)
@@ -54,8 +61,12 @@
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * memoryPart))
 	}
+	settings.MetricsPort = metricsPort
 	registry := observe.NewRegistry()
-	logger := observe.NewLogger(observe.NewBoundedWriter(os.Stdout, registry), "info")
+	lines := observe.NewBoundedWriter(os.Stdout, registry)
+	defer lines.Close(lastLinesWait)
+	logger := log.With(observe.NewLogger(lines, "info"), "host", settings.Host)
+	invariant.SetHandler(observe.ViolationHandler(logger, registry))
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(log.NewStdlibAdapter(log.With(logger, "event", "net/http")))
 	g := gateway.New(gateway.Options{
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -94,7 +94,7 @@
 		Commands: []*cli.Command{
 			a.checkCommand(), a.diffCommand(), a.applyCommand(),
 			a.keyCommand(), a.drainCommand(), a.shiftCommand(),
-			a.statusCommand(), a.lookupCommand(), a.reportCommand(),
+			a.statusCommand(), a.lookupCommand(), a.reportCommand(), a.explainCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/gateway/decide_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"peridotrail/internal/catalog"
+	"peridotrail/internal/routing"
+)
+
+func TestSplitKeepsItsWeights(t *testing.T) {
+	s := newSplitter()
+	route := &routing.Route{Name: "r", Targets: []routing.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "off", Weight: 0}}}
+	counts := map[string]int{}
+	for range 1000 {
+		counts[s.choose(route)]++
+	}
+	require.Equal(t, map[string]int{"a": 900, "b": 100}, counts)
+	changed := &routing.Route{Name: "r", Targets: []routing.Target{{Service: "b", Weight: 1}, {Service: "c", Weight: 1}}}
+	clear(counts)
+	for range 1000 {
+		counts[s.choose(changed)]++
+	}
+	require.InDelta(t, 500, counts["b"], 50)
+	require.InDelta(t, 500, counts["c"], 50)
+	require.Zero(t, counts["a"])
+}
+
+func hostsOf(places ...string) []catalog.Host {
+	regions := map[string]string{"w1": "west", "w2": "west", "e1": "east"}
+	var hosts []catalog.Host
+	for i, domain := range places {
+		hosts = append(hosts, catalog.Host{Name: fmt.Sprintf("h%d", i), Entry: fmt.Sprintf("a%d", i), FailureDomain: domain, Region: regions[domain]})
+	}
+	return hosts
+}
+
+// The shares of all hosts that know the same hosts add up to the whole.
+func TestSharesAddUp(t *testing.T) {
+	for _, places := range [][]string{{"w1"}, {"w1", "w1", "w2"}, {"w1", "w2", "e1", "e1", "e1"}} {
+		hosts := hostsOf(places...)
+		sum := 0.0
+		for _, host := range hosts {
+			sum += shareOf(hosts, Settings{Host: host.Name, FailureDomain: host.FailureDomain})
+		}
+		require.InDelta(t, 1, sum, 1e-9, "%v", places)
+	}
+}
+
+// A host that does not see itself yet takes the part of one more host.
+func TestShareOfAHostThatIsNotRegistered(t *testing.T) {
+	require.InDelta(t, 1.0/3, shareOf(hostsOf("w1", "w1"), Settings{Host: "new", FailureDomain: "w1"}), 1e-9)
+	require.InDelta(t, 1.0/2, shareOf(hostsOf("w1", "w1"), Settings{Host: "new", FailureDomain: "w2"}), 1e-9)
+	require.InDelta(t, 1, shareOf(nil, Settings{Host: "new", FailureDomain: "w1"}), 1e-9)
+}
+
+func TestNearestHosts(t *testing.T) {
+	all := hostsOf("w1", "w2", "e1", "w1")
+	cases := []struct {
+		name     string
+		hosts    []catalog.Host
+		question Lookup
+		want     []string
+	}{
+		{"two in the domain", all, Lookup{Region: "west", FailureDomain: "w1"}, []string{"a0", "a3"}},
+		{"one in the domain, more in the region", all, Lookup{Region: "west", FailureDomain: "w2"}, []string{"a0", "a1", "a3"}},
+		{"one in the region", all, Lookup{Region: "east", FailureDomain: "e1"}, []string{"a2"}},
+		{"none in the region", all, Lookup{Region: "north", FailureDomain: "n1"}, []string{"a0", "a1", "a2", "a3"}},
+		{"none at all", nil, Lookup{Region: "west", FailureDomain: "w1"}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { require.ElementsMatch(t, c.want, nearest(c.hosts, c.question)) })
+	}
+}
+
+func TestNewestIncarnationOfAHost(t *testing.T) {
+	hosts := distinct([]catalog.Host{{Name: "h", Entry: "old", Incarnation: 1}, {Name: "h", Entry: "new", Incarnation: 2}, {Name: "g"}})
+	require.Len(t, hosts, 2)
+	require.Equal(t, "new", hosts[0].Entry)
+}
+
+func TestLinesAreBoundedAndFailuresComeFirst(t *testing.T) {
+	b := &lineBudget{logger: log.NewNopLogger()}
+	successes, failures := 0, 0
+	for range 10 * linesPerSecond {
+		if b.allow(true) {
+			successes++
+		}
+		if b.allow(false) {
+			failures++
+		}
+	}
+	require.Equal(t, successLinesPerSecond, successes)
+	require.Equal(t, linesPerSecond, failures)
+	require.Equal(t, int64(20*linesPerSecond-successes-failures), b.leftOut.Load())
+}
+
+func TestReloadKeepsTheIdentity(t *testing.T) {
+	live := newLiveSettings(Settings{Host: "h", ListenCallers: "a", RepeatRatio: 0.1})
+	require.True(t, live.replace(Settings{Host: "other", ListenCallers: "a", RepeatRatio: 0.2}))
+	require.Equal(t, "h", live.get().Host)
+	require.InDelta(t, 0.2, live.get().RepeatRatio, 0)
+	require.False(t, live.replace(Settings{Host: "h", ListenCallers: "a"}))
+}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -48,7 +48,7 @@
 func (x *exchange) refuse(w http.ResponseWriter, p *problem.Problem) {
 	took := boottime.Now().Sub(x.arrived)
 	x.gateway.counters.ended(strconv.Itoa(p.Status), took)
-	x.log("request refused", p.Status, p.Detail, took)
+	x.log("request refused", p.Status, p.Detail, took, "executed", string(p.Executed), "retry_after_ms", p.RetryAfter.Milliseconds())
 	if x.request.Context().Err() != nil {
 		return // nobody reads the answer
 	}
@@ -60,7 +60,7 @@
 }
 
 // log writes one line for the end of a request, with what decided it.
-func (x *exchange) log(event string, status int, detail string, took time.Duration) {
+func (x *exchange) log(event string, status int, detail string, took time.Duration, more ...any) {
 	if !x.gateway.lines.allow(status < http.StatusBadRequest) {
 		return
 	}
@@ -86,7 +86,7 @@
 			"wait_ms", in.Wait.Milliseconds(), "work_ms", in.Work.Milliseconds(), "warm", math.Round(in.Warm*100)/100, "home", in.Home, "cold", in.Cold,
 			"load", math.Round(in.Load*10)/10, "load_age_ms", in.LoadAge.Milliseconds())
 	}
-	_ = level.Info(x.gateway.logger).Log(line...)
+	_ = level.Info(x.gateway.logger).Log(append(line, more...)...)
 }
 
 // logAttempt writes one line for an attempt without an answer.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/lending"
+	"peridotrail/internal/observe"
 )
 
 const (
@@ -81,17 +84,34 @@
 	wait.Wait()
 }
 
+// metricsPrefix begins the names of all metrics.
+const metricsPrefix = "peridotrail_"
+
+// withPort replaces the port of an IP:port.
+func withPort(address string, port uint16) string {
+	ip, _, _ := strings.Cut(address, ":")
+	return net.JoinHostPort(ip, strconv.Itoa(int(port)))
+}
+
 // listen opens the listeners and serves them.
 func (g *Gateway) listen() ([]*http.Server, error) {
-	var servers []*http.Server
-	for _, each := range []struct {
+	settings := g.settings.get()
+	handlers := []struct {
 		address string
-		handler http.HandlerFunc
+		handler http.Handler
 	}{
-		{g.settings.get().ListenCallers, g.requests},
-		{g.settings.get().ListenReady, g.readiness},
-		{g.settings.get().ListenLookups, g.lookups},
-	} {
+		{settings.ListenCallers, http.HandlerFunc(g.requests)},
+		{settings.ListenReady, http.HandlerFunc(g.readiness)},
+		{settings.ListenLookups, http.HandlerFunc(g.lookups)},
+	}
+	if settings.MetricsPort != 0 {
+		handlers = append(handlers, struct {
+			address string
+			handler http.Handler
+		}{withPort(settings.ListenCallers, settings.MetricsPort), observe.TextHandler(metricsPrefix, g.counters.registry)})
+	}
+	var servers []*http.Server
+	for _, each := range handlers {
 		listener, err := net.Listen("tcp4", each.address)
 		if err != nil {
 			return nil, err
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -17,6 +17,8 @@
 	ListenLookups string // IP:port for look-ups
 	ListenPeers   string // IP:port for datagrams of other hosts
 
+	MetricsPort uint16 // of /metrics on the address for callers; zero: none
+
 	MemoryLimit int64 // bytes; zero: no limit
 	Descriptors int   // zero: no limit
 
--- a/internal/observe/bounded.go
+++ b/internal/observe/bounded.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -59,9 +60,14 @@
 	}
 }
 
-// Close writes the waiting lines out and stops. It waits for the writer, so it
-// must not be called while nobody reads it.
-func (w *BoundedWriter) Close() {
+// Close writes the waiting lines out and stops. It gives a reader that is stuck up
+// to wait to take them.
+func (w *BoundedWriter) Close(wait time.Duration) {
 	w.ring.Close()
-	w.done.Wait()
+	done := make(chan struct{})
+	go func() { w.done.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(wait):
+	}
 }
