--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -23,6 +23,8 @@
 	borrowSpan = 600 * time.Millisecond
 	// reserveSpan is the time for which a lender keeps tokens for its own requests.
 	reserveSpan = 400 * time.Millisecond
+	// leastReturn keeps callers from asking again before anything has changed.
+	leastReturn = 100 * time.Millisecond
 	// demandMemory is the time over which the demand on a bucket is averaged.
 	demandMemory = 700 * time.Millisecond
 )
@@ -59,7 +61,8 @@
 	b.demand += 1 / demandMemory.Seconds()
 }
 
-// Take spends one token. If there is none it returns the time until there is.
+// Take spends one token. If there is none it returns the time after which a caller
+// may come back: until its turn among all that ask now.
 func (b *Bucket) Take(now boottime.Instant) (ok bool, wait time.Duration) {
 	b.refill(now)
 	if b.borrowed >= 1 {
@@ -73,7 +76,8 @@
 	if b.rate <= 0 {
 		return false, time.Second
 	}
-	return false, time.Duration((1 - b.tokens) / b.rate * float64(time.Second))
+	turn := (1 - b.tokens) / b.rate * max(1, b.demand/b.rate)
+	return false, max(leastReturn, time.Duration(turn*float64(time.Second)))
 }
 
 // Return gives back a token whose request was not sent.
