Keep objects once a region first, and in a domain once that pays

Change: an object's first home is one upstream of the region; a domain learns it when its requests have paid as much for crossing as the slow one costs.

--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -70,14 +70,24 @@
 	return float64(xxhash.Sum64String(purpose+"\x00"+object)) / math.MaxUint64
 }
 
-// has reports whether an upstream is a home of the object.
-func (h homes) has(u *upstream) bool {
-	switch h.kept[u.region] {
-	case keptPerDomain:
-		return h.byDomain[u.FailureDomain] == u
-	case keptOnce:
-		return h.byRegion[u.region] == u
+// standing says how firmly the hosts agree to keep an object at an upstream.
+type standing uint8
+
+const (
+	stranger   standing = iota // the object has no home there
+	domainHome                 // where its failure domain keeps it once that pays
+	regionHome                 // where its region keeps it first
+	standings
+)
+
+// of returns the standing of an upstream for the object.
+func (h homes) of(u *upstream) standing {
+	switch kept := h.kept[u.region]; {
+	case kept != keptNowhere && h.byRegion[u.region] == u:
+		return regionHome
+	case kept == keptPerDomain && h.byDomain[u.FailureDomain] == u:
+		return domainHome
 	default:
-		return false
+		return stranger
 	}
 }
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -36,7 +36,7 @@
 func (p *Placement) Inputs() Inputs {
 	return Inputs{
 		Wait: fromMilliseconds(p.chosen.wait), Work: fromMilliseconds(p.chosen.work()),
-		Warm: p.chosen.warm, Home: p.chosen.home, Cold: p.cold, Load: p.load, LoadAge: p.loadAge,
+		Warm: p.chosen.warm, Home: p.chosen.standing != stranger, Cold: p.cold, Load: p.load, LoadAge: p.loadAge,
 	}
 }
 
@@ -124,7 +124,7 @@
 	warm := e.learn(took/slow, p.work.Sticky)
 	u.observe(took/e.work(warm), now)
 	if p.work.hasObject() {
-		p.pool.warmth(p.work.Service).learn(p.chosen.home, p.chosen.rank, p.chosen.sent, warm)
+		p.pool.warmth(p.work.Service).learn(p.chosen.standing, p.chosen.rank, p.chosen.sent, warm)
 	}
 }
 
@@ -140,7 +140,7 @@
 	slow := u.currentSlowness(now)
 	sample := took / slow
 	if p.work.hasObject() && sample > e.middle() {
-		p.pool.warmth(p.work.Service).learn(p.chosen.home, p.chosen.rank, p.chosen.sent, false)
+		p.pool.warmth(p.work.Service).learn(p.chosen.standing, p.chosen.rank, p.chosen.sent, false)
 	}
 	if sample > e.warm && now.Sub(u.reported) > loadMemory {
 		u.others, u.reported = max(u.others, float64(u.slots)), now // it says nothing while it answers nothing
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -86,7 +86,7 @@
 // candidate is the valuation of one upstream.
 type candidate struct {
 	upstream *upstream
-	home     bool
+	standing standing
 	rank     int
 	sent     bool    // this host has sent the object there
 	warm     float64 // chance that the upstream knows the object
@@ -120,6 +120,7 @@
 	}
 	if work.hasObject() {
 		u.memory.use(work.Object)
+		p.warmth(work.Service).placed(work.Object, p.crossing(u, p.estimate(work)))
 	}
 	p.shift.count(placement.Remote, now)
 	return placement, nil
@@ -240,9 +241,9 @@
 func (p *Pool) value(u *upstream, work Work, e *estimate, w *warmth, h homes, now boottime.Instant) candidate {
 	c := candidate{upstream: u, warm: 1}
 	if work.hasObject() {
-		c.home = h.has(u)
+		c.standing = h.of(u)
 		c.rank, c.sent = u.memory.rank(work.Object)
-		c.warm = w.chance[homeIndex(c.home)][w.class(c.rank, c.sent)]
+		c.warm = w.chance[c.standing][w.class(c.rank, c.sent)]
 	}
 	slow := u.currentSlowness(now)
 	if u.cold(now) {
@@ -257,8 +258,11 @@
 	answered := c.warm*p.credit(c.wait+away+c.workWarm, work, now) +
 		(1-c.warm)*p.credit(c.wait+away+c.workCold, work, now)
 	c.credit = u.currentTrust(now)*answered - p.crossing(u, e) - u.slotPrice(now)*c.work()/work.objectiveMS()
-	if c.home {
+	switch {
+	case c.standing == regionHome:
 		c.credit += homeCredit * (1 - c.warm)
+	case c.standing == domainHome && u.FailureDomain == p.settings.FailureDomain:
+		c.credit += w.crossed[work.Object] * (1 - c.warm)
 	}
 	if !u.served && u.FailureDomain == p.settings.FailureDomain {
 		c.credit += firstCredit
--- a/internal/placement/warmth.go
+++ b/internal/placement/warmth.go
@@ -9,10 +9,13 @@
 // warmth is what a host has learned of how the upstreams of one service keep
 // objects: how many each remembers, and how likely it knows one.
 type warmth struct {
-	capacity float64                     // objects that an upstream remembers
-	chance   [2][rankClasses + 1]float64 // by home or not and by rank; the last one: never sent
-	active   map[string]boottime.Instant // objects asked for lately
-	pruned   boottime.Instant
+	capacity float64                             // objects that an upstream remembers
+	chance   [standings][rankClasses + 1]float64 // by standing and by rank; the last one: never sent
+	active   map[string]boottime.Instant         // objects asked for lately
+	// crossed is what requests for an object have paid for leaving the failure
+	// domain since the domain last served one.
+	crossed map[string]float64
+	pruned  boottime.Instant
 }
 
 const (
@@ -26,22 +29,24 @@
 	// activeSpan is how long an object counts as active after a request for it.
 	activeSpan = 15 * time.Second
 	pruneEvery = time.Second
-	// homeUnsent and strangerUnsent are the first guesses that an upstream knows an
-	// object that this host has not sent to it: other hosts send it to its home.
-	homeUnsent     = 0.5
+	// These are the first guesses that an upstream knows an object that this host
+	// has not sent to it: other hosts send it to its home.
 	strangerUnsent = 0.05
+	domainUnsent   = 0.3
+	regionUnsent   = 0.5
 )
 
 func newWarmth() *warmth {
-	w := &warmth{capacity: capacitySeed, active: map[string]boottime.Instant{}}
-	for home := range w.chance {
+	w := &warmth{capacity: capacitySeed, active: map[string]boottime.Instant{}, crossed: map[string]float64{}}
+	for s := range w.chance {
 		for class := range rankClasses {
 			middle := (float64(class) + 0.5) * rankStep
-			w.chance[home][class] = min(0.97, max(0.05, 1.6-middle))
+			w.chance[s][class] = min(0.97, max(0.05, 1.6-middle))
 		}
 	}
-	w.chance[0][rankClasses] = strangerUnsent
-	w.chance[1][rankClasses] = homeUnsent
+	w.chance[stranger][rankClasses] = strangerUnsent
+	w.chance[domainHome][rankClasses] = domainUnsent
+	w.chance[regionHome][rankClasses] = regionUnsent
 	return w
 }
 
@@ -53,20 +58,13 @@
 	return min(int(float64(rank)/(w.capacity*rankStep)), rankClasses-1)
 }
 
-func homeIndex(home bool) int {
-	if home {
-		return 1
-	}
-	return 0
-}
-
 // learn takes whether an upstream turned out to know an object.
-func (w *warmth) learn(home bool, rank int, sent, warm bool) {
+func (w *warmth) learn(s standing, rank int, sent, warm bool) {
 	target := 0.0
 	if warm {
 		target = 1
 	}
-	chance := &w.chance[homeIndex(home)][w.class(rank, sent)]
+	chance := &w.chance[s][w.class(rank, sent)]
 	*chance += chanceWeight * (target - *chance)
 	r := float64(rank)
 	if sent && (warm && r > w.capacity || !warm && r < w.capacity) {
@@ -84,6 +82,7 @@
 	for other, at := range w.active {
 		if now.Sub(at) > activeSpan {
 			delete(w.active, other)
+			delete(w.crossed, other)
 		}
 	}
 }
@@ -112,3 +111,16 @@
 func (w *warmth) remembered(all int) float64 {
 	return min(1, fill*w.capacity*float64(all)/float64(max(len(w.active), 1)))
 }
+
+// most that a domain pays for crossings before it learns an object itself: the
+// credit that the first, slow request loses.
+const learningCost = 0.8
+
+// placed notes where a request for an object went.
+func (w *warmth) placed(object string, crossing float64) {
+	if crossing == 0 {
+		delete(w.crossed, object)
+		return
+	}
+	w.crossed[object] = min(w.crossed[object]+crossing, learningCost)
+}
