Register a host under a key for each lease

Cause: a write of the registration whose answer was lost may take effect seconds later under its old lease, replace the newer entry and take it along when that lease ends; the host would then serve unnamed (found by reading; the test fails with one key). Result: go test ./internal/registration passes.

--- a/internal/registration/registration.go
+++ b/internal/registration/registration.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/go-kit/log"
@@ -68,13 +69,20 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := o.Store.Put(ctx, Prefix+o.Host.Name, value, lease); err != nil {
+	if err := o.Store.Put(ctx, key(o.Host.Name, lease), value, lease); err != nil {
 		return 0, err
 	}
 	_ = level.Info(o.Logger).Log("event", "host registered", "host", o.Host.Name, "lease", lease)
 	return lease, nil
 }
 
+// key is the host's key under one lease. A write whose answer was lost may take
+// effect late; under a key of its own it can't replace a newer entry and take it
+// along when its lease ends.
+func key(name string, lease kvstore.LeaseID) string {
+	return Prefix + name + "/" + strconv.FormatUint(uint64(lease), 10)
+}
+
 func (o Options) withdraw(lease kvstore.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
