--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -216,7 +216,8 @@
 		return nil, refusal
 	}
 	now := boottime.Now()
-	placed, err := x.gateway.state.pool.Place(x.work(), now)
+	chosen, err := x.gateway.state.pool.Place(x.work(), now)
+	placed := &chosen
 	if err != nil {
 		x.giveBack()
 		refused, _ := err.(*placement.RefusedError)
--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -6,14 +6,15 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// homes finds where the hosts agree to keep one object: at one upstream of each
-// failure domain, at one of each region if the domains can't remember all
-// objects, or only in other regions if the region can't either. Hosts that know
+// homes are where the hosts agree to keep one object: at one upstream of each
+// region first, and at one of each failure domain once that pays. Hosts that know
 // the same upstreams agree without a message.
 type homes struct {
-	byDomain map[string]*upstream
-	byRegion map[string]*upstream
-	kept     map[string]extent // by region
+	byDomain []*upstream // by the domain's number in the service
+	byRegion []*upstream // by the region's number in the service
+	// forDomain and forRegion place the object between 0 and 1, for the part of
+	// the objects that domains and regions can keep.
+	forDomain, forRegion float64
 }
 
 // extent says how widely a region keeps an object.
@@ -25,43 +26,44 @@
 	keptPerDomain               // at one upstream of each failure domain
 )
 
-// homesOf returns the homes of an object among the upstreams of a service.
-func (p *Pool) homesOf(service, object string, w *warmth) homes {
-	h := homes{byDomain: map[string]*upstream{}, byRegion: map[string]*upstream{}, kept: map[string]extent{}}
-	domains := map[string]int{}
-	regions := map[string]int{}
-	for _, u := range p.services[service] {
-		if u.Draining || p.evacuated[u.FailureDomain] {
-			continue
-		}
-		domains[u.FailureDomain]++
-		regions[u.region]++
-		s := score(u.ID, object)
-		if best := h.byDomain[u.FailureDomain]; best == nil || s > score(best.ID, object) {
-			h.byDomain[u.FailureDomain] = u
-		}
-		if best := h.byRegion[u.region]; best == nil || s > score(best.ID, object) {
-			h.byRegion[u.region] = u
-		}
+// standing says how firmly the hosts agree to keep an object at an upstream.
+type standing uint8
+
+const (
+	stranger   standing = iota // the object has no home there
+	domainHome                 // where its failure domain keeps it once that pays
+	regionHome                 // where its region keeps it first
+	standings
+)
+
+// cachedHomes bounds the objects of one service whose homes are kept.
+const cachedHomes = 4096
+
+// homesOf returns the homes of an object.
+func (s *service) homesOf(object string) *homes {
+	if h := s.homes[object]; h != nil {
+		return h
+	}
+	if len(s.homes) >= cachedHomes {
+		clear(s.homes)
 	}
-	largest := 0
-	for _, all := range regions {
-		largest = max(largest, all)
+	h := &homes{
+		byDomain:  make([]*upstream, len(s.domains)),
+		byRegion:  make([]*upstream, len(s.regions)),
+		forDomain: position(object, "domain"),
+		forRegion: position(object, "region"),
 	}
-	for region, all := range regions {
-		least := all
-		for domain, n := range domains {
-			if p.settings.Regions[domain] == region {
-				least = min(least, n)
-			}
+	domainBest, regionBest := make([]uint64, len(s.domains)), make([]uint64, len(s.regions))
+	for _, u := range s.usable {
+		score := xxhash.Sum64String(u.ID + "\x00" + object)
+		if h.byDomain[u.domain] == nil || score > domainBest[u.domain] {
+			h.byDomain[u.domain], domainBest[u.domain] = u, score
 		}
-		switch {
-		case position(object, "domain") < w.replicated(least, all):
-			h.kept[region] = keptPerDomain
-		case all == largest || position(object, "region") < w.remembered(all):
-			h.kept[region] = keptOnce
+		if h.byRegion[u.regionNumber] == nil || score > regionBest[u.regionNumber] {
+			h.byRegion[u.regionNumber], regionBest[u.regionNumber] = u, score
 		}
 	}
+	s.homes[object] = h
 	return h
 }
 
@@ -70,22 +72,29 @@
 	return float64(xxhash.Sum64String(purpose+"\x00"+object)) / math.MaxUint64
 }
 
-// standing says how firmly the hosts agree to keep an object at an upstream.
-type standing uint8
-
-const (
-	stranger   standing = iota // the object has no home there
-	domainHome                 // where its failure domain keeps it once that pays
-	regionHome                 // where its region keeps it first
-	standings
-)
+// kept says how widely a region keeps an object. The largest region keeps all.
+func (s *service) kept(h *homes, region int) extent {
+	r := s.regions[region]
+	switch {
+	case h.forDomain < s.warmth.replicated(r.least, r.all):
+		return keptPerDomain
+	case r.all == s.largest || h.forRegion < s.warmth.remembered(r.all):
+		return keptOnce
+	default:
+		return keptNowhere
+	}
+}
 
-// of returns the standing of an upstream for the object.
-func (h homes) of(u *upstream) standing {
-	switch kept := h.kept[u.region]; {
-	case kept != keptNowhere && h.byRegion[u.region] == u:
+// standingOf returns the standing of an upstream for an object.
+func (s *service) standingOf(u *upstream, h *homes) standing {
+	inRegion, inDomain := h.byRegion[u.regionNumber] == u, h.byDomain[u.domain] == u
+	if !inRegion && !inDomain {
+		return stranger
+	}
+	switch kept := s.kept(h, u.regionNumber); {
+	case inRegion && kept != keptNowhere:
 		return regionHome
-	case kept == keptPerDomain && h.byDomain[u.FailureDomain] == u:
+	case inDomain && kept == keptPerDomain:
 		return domainHome
 	default:
 		return stranger
--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -1,52 +1,36 @@
 package placement
 
-import "github.com/cespare/xxhash/v2"
+import "slices"
 
-// memory is the order in which a host last sent objects to one upstream. An
-// upstream serves only the objects quickly that it has served most recently, so
-// the number of others since then tells whether it still knows one.
-type memory struct {
-	sequence uint64
-	used     map[string]uint64
-}
+// objectID is an object's number within its service at this host.
+type objectID uint32
+
+// memory is the order in which a host last sent objects to one upstream, the last
+// one first. An upstream serves only the objects quickly that it has served most
+// recently, so the number of others since then tells whether it still knows one.
+type memory struct{ recent []objectID }
 
 // memoryObjects bounds the objects that are remembered of one upstream.
 const memoryObjects = 160
 
-func newMemory() memory { return memory{used: map[string]uint64{}} }
-
 // rank returns the number of other objects sent since this one. ok is false if the
 // object is not remembered.
-func (m *memory) rank(object string) (rank int, ok bool) {
-	at, ok := m.used[object]
-	if !ok {
-		return 0, false
-	}
-	for _, other := range m.used {
-		if other > at {
-			rank++
-		}
-	}
-	return rank, true
+func (m *memory) rank(object objectID) (rank int, ok bool) {
+	rank = slices.Index(m.recent, object)
+	return rank, rank >= 0
 }
 
 // use notes that an object was sent.
-func (m *memory) use(object string) {
-	m.sequence++
-	m.used[object] = m.sequence
-	if len(m.used) <= memoryObjects {
-		return
-	}
-	oldest, least := "", m.sequence
-	for other, at := range m.used {
-		if at < least {
-			oldest, least = other, at
+func (m *memory) use(object objectID) {
+	at := slices.Index(m.recent, object)
+	if at < 0 {
+		if len(m.recent) < memoryObjects {
+			m.recent = append(m.recent, 0)
 		}
+		at = len(m.recent) - 1
 	}
-	delete(m.used, oldest)
+	copy(m.recent[1:at+1], m.recent[:at])
+	m.recent[0] = object
 }
 
-func (m *memory) forget() { clear(m.used) }
-
-// score ranks an upstream for an object in rendezvous hashing.
-func score(id, object string) uint64 { return xxhash.Sum64String(id + "\x00" + object) }
+func (m *memory) forget() { m.recent = m.recent[:0] }
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -13,6 +13,7 @@
 	Remote   bool // in another region
 
 	pool    *Pool
+	service *service
 	chosen  candidate
 	work    Work
 	start   boottime.Instant
@@ -87,6 +88,7 @@
 		}
 	case OutcomeMoved:
 		u.Draining = true
+		p.service.index(pool.evacuated, pool.settings.FailureDomain)
 	case OutcomeExpired:
 		p.expired(now)
 	case OutcomeCancelled:
@@ -114,7 +116,7 @@
 	}
 	u.succeeded(now)
 	u.unreached = 0
-	e := p.pool.estimate(p.work)
+	e := p.pool.estimate(&p.work)
 	e.kilobytes += sampleWeight * (report.Kilobytes - e.kilobytes)
 	took := p.took(now)
 	if p.cold || p.chosen.wait > p.chosen.workWarm || took <= 0 {
@@ -124,7 +126,7 @@
 	warm := e.learn(took/slow, p.work.Sticky)
 	u.observe(took/e.work(warm), now)
 	if p.work.hasObject() {
-		p.pool.warmth(p.work.Service).learn(p.chosen.standing, p.chosen.rank, p.chosen.sent, warm)
+		p.service.warmth.learn(p.chosen.standing, p.chosen.rank, p.chosen.sent, warm)
 	}
 }
 
@@ -136,11 +138,11 @@
 	if p.cold || took <= 0 {
 		return
 	}
-	u, e := p.chosen.upstream, p.pool.estimate(p.work)
+	u, e := p.chosen.upstream, p.pool.estimate(&p.work)
 	slow := u.currentSlowness(now)
 	sample := took / slow
 	if p.work.hasObject() && sample > e.middle() {
-		p.pool.warmth(p.work.Service).learn(p.chosen.standing, p.chosen.rank, p.chosen.sent, false)
+		p.service.warmth.learn(p.chosen.standing, p.chosen.rank, p.chosen.sent, false)
 	}
 	if sample > e.warm && now.Sub(u.reported) > loadMemory {
 		u.others, u.reported = max(u.others, float64(u.slots)), now // it says nothing while it answers nothing
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -10,6 +10,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -43,11 +44,11 @@
 
 	mu        sync.Mutex // guards all below; never held across I/O
 	upstreams map[string]*upstream
-	services  map[string][]*upstream
+	services  map[string]*service
 	estimates map[string]*estimate
-	warmths   map[string]*warmth // by service
-	evacuated map[string]bool    // failure domains that get no work
+	evacuated map[string]bool // failure domains that get no work
 	shift     shiftBound
+	scratch   []*upstream // candidates of one placement
 }
 
 // NewPool returns a pool without upstreams.
@@ -55,9 +56,8 @@
 	return &Pool{
 		settings:  settings,
 		upstreams: map[string]*upstream{},
-		services:  map[string][]*upstream{},
+		services:  map[string]*service{},
 		estimates: map[string]*estimate{},
-		warmths:   map[string]*warmth{},
 		shift:     shiftBound{most: settings.MaxShift},
 	}
 }
@@ -69,7 +69,9 @@
 	defer p.mu.Unlock()
 	p.evacuated = evacuated
 	present := make(map[string]*upstream, len(entries))
-	p.services = map[string][]*upstream{}
+	for _, s := range p.services {
+		s.all = nil
+	}
 	for _, entry := range entries {
 		u := p.upstreams[entry.ID]
 		if u == nil || u.Address != entry.Address || u.Service != entry.Service || u.Incarnation != entry.Incarnation {
@@ -78,9 +80,24 @@
 		u.Draining = entry.Draining
 		u.ColdUntil = max(u.ColdUntil, entry.ColdUntil)
 		present[entry.ID] = u
-		p.services[entry.Service] = append(p.services[entry.Service], u)
+		s := p.service(entry.Service)
+		s.all = append(s.all, u)
 	}
 	p.upstreams = present
+	for _, s := range p.services {
+		slices.SortFunc(s.all, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
+		s.index(p.evacuated, p.settings.FailureDomain)
+	}
+}
+
+// service returns what is known of a service. The caller holds mu.
+func (p *Pool) service(name string) *service {
+	s := p.services[name]
+	if s == nil {
+		s = newService()
+		p.services[name] = s
+	}
+	return s
 }
 
 // candidate is the valuation of one upstream.
@@ -100,17 +117,24 @@
 func (c *candidate) work() float64 { return c.warm*c.workWarm + (1-c.warm)*c.workCold }
 
 // Place chooses an upstream. It fails with a *RefusedError.
-func (p *Pool) Place(work Work, now boottime.Instant) (*Placement, error) {
+func (p *Pool) Place(work Work, now boottime.Instant) (Placement, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, refusal := p.best(work, now)
-	if best == nil {
-		return nil, refusal
+	s := p.service(work.Service)
+	var h *homes
+	var object objectID
+	if work.hasObject() {
+		s.warmth.asked(work.Object, now)
+		h, object = s.homesOf(work.Object), s.number(work.Object)
+	}
+	best, refusal := p.best(s, h, object, &work, now)
+	if best.upstream == nil {
+		return Placement{}, refused(refusal)
 	}
 	u := best.upstream
-	placement := &Placement{
+	placement := Placement{
 		Upstream: u.Upstream, Remote: u.region != p.settings.Region,
-		pool: p, chosen: *best, work: work, start: now, cold: u.cold(now),
+		pool: p, service: s, chosen: best, work: work, start: now, cold: u.cold(now),
 		load: u.occupancy(now), loadAge: now.Sub(u.reported),
 	}
 	u.inflight++
@@ -118,27 +142,22 @@
 	if placement.cold {
 		u.coldSends.Add(1, now)
 	}
-	if work.hasObject() {
-		u.memory.use(work.Object)
-		p.warmth(work.Service).placed(work.Object, p.crossing(u, p.estimate(work)))
+	if h != nil {
+		u.memory.use(object)
+		s.note(object, u)
+		s.warmth.placed(work.Object, p.crossing(u, p.estimate(&work)))
 	}
 	p.shift.count(placement.Remote, now)
 	return placement, nil
 }
 
+// refused keeps the allocation of an error off the way of requests that are placed.
+func refused(r RefusedError) error { return &r }
+
 // hasObject reports whether upstreams may know the object of the work.
 func (w *Work) hasObject() bool { return w.Sticky && w.Object != "" }
 
-func (p *Pool) warmth(service string) *warmth {
-	w := p.warmths[service]
-	if w == nil {
-		w = newWarmth()
-		p.warmths[service] = w
-	}
-	return w
-}
-
-func (p *Pool) estimate(work Work) *estimate {
+func (p *Pool) estimate(work *Work) *estimate {
 	e := p.estimates[work.Route]
 	if e == nil {
 		e = newEstimate(work.LatencyObjective)
@@ -147,36 +166,33 @@
 	return e
 }
 
-func (p *Pool) best(work Work, now boottime.Instant) (*candidate, *RefusedError) {
-	refusal := &RefusedError{Service: work.Service, Reason: ReasonNoUpstream, RetryAfter: noUpstreamRetry}
-	e, w := p.estimate(work), p.warmth(work.Service)
-	var h homes
-	if work.hasObject() {
-		w.asked(work.Object, now)
-		h = p.homesOf(work.Service, work.Object, w)
-	}
+// best values the candidates. Its upstream is nil if none may be used.
+func (p *Pool) best(s *service, h *homes, object objectID, work *Work, now boottime.Instant) (candidate, RefusedError) {
+	refusal := RefusedError{Service: work.Service, Reason: ReasonNoUpstream, RetryAfter: noUpstreamRetry}
+	e := p.estimate(work)
+	p.scratch = s.candidates(p.scratch[:0], h, object)
 	shiftAllowed := p.shift.allows(now)
 	local := p.hasLocal(work)
-	var best *candidate
-	for _, u := range p.services[work.Service] {
+	var best candidate
+	for _, u := range p.scratch {
 		if !p.eligible(u, work) {
 			continue
 		}
 		if u.region != p.settings.Region && local && !shiftAllowed {
-			note(refusal, ReasonShift, minRetry)
+			note(&refusal, ReasonShift, minRetry)
 			continue
 		}
 		if u.cold(now) && !p.coldRoom(u, now) {
-			note(refusal, ReasonCold, coldRetry)
+			note(&refusal, ReasonCold, coldRetry)
 			continue
 		}
-		c := p.value(u, work, e, w, h, now)
-		if reason, after := hopeless(c, work, now); reason != "" {
-			note(refusal, reason, after)
+		c := p.value(s, u, work, e, h, object, now)
+		if reason, after := hopeless(&c, work, now); reason != "" {
+			note(&refusal, reason, after)
 			continue
 		}
-		if best == nil || c.credit > best.credit {
-			best = &c
+		if best.upstream == nil || c.credit > best.credit {
+			best = c
 		}
 	}
 	return best, refusal
@@ -195,16 +211,20 @@
 	}
 }
 
-func (p *Pool) eligible(u *upstream, work Work) bool {
-	return !u.Draining && !p.evacuated[u.FailureDomain] &&
+func (p *Pool) eligible(u *upstream, work *Work) bool {
+	return !u.Draining &&
 		!slices.Contains(work.Tried, u.ID) &&
 		(work.Allowed == nil || work.Allowed(u.region))
 }
 
-func (p *Pool) hasLocal(work Work) bool {
-	return slices.ContainsFunc(p.services[work.Service], func(u *upstream) bool {
-		return u.region == p.settings.Region && p.eligible(u, work)
-	})
+// hasLocal reports whether a candidate of this host's region may be used.
+func (p *Pool) hasLocal(work *Work) bool {
+	for _, u := range p.scratch {
+		if u.region == p.settings.Region && p.eligible(u, work) {
+			return true
+		}
+	}
+	return false
 }
 
 // coldRoom reports whether this host may send one more request to a cold
@@ -238,12 +258,12 @@
 )
 
 // value estimates what a request may expect of an upstream.
-func (p *Pool) value(u *upstream, work Work, e *estimate, w *warmth, h homes, now boottime.Instant) candidate {
+func (p *Pool) value(s *service, u *upstream, work *Work, e *estimate, h *homes, object objectID, now boottime.Instant) candidate {
 	c := candidate{upstream: u, warm: 1}
-	if work.hasObject() {
-		c.standing = h.of(u)
-		c.rank, c.sent = u.memory.rank(work.Object)
-		c.warm = w.chance[c.standing][w.class(c.rank, c.sent)]
+	if h != nil {
+		c.standing = s.standingOf(u, h)
+		c.rank, c.sent = u.memory.rank(object)
+		c.warm = s.warmth.chance[c.standing][s.warmth.class(c.rank, c.sent)]
 	}
 	slow := u.currentSlowness(now)
 	if u.cold(now) {
@@ -262,7 +282,7 @@
 	case c.standing == regionHome:
 		c.credit += homeCredit * (1 - c.warm)
 	case c.standing == domainHome && u.FailureDomain == p.settings.FailureDomain:
-		c.credit += w.crossed[work.Object] * (1 - c.warm)
+		c.credit += s.warmth.crossed[work.Object] * (1 - c.warm)
 	}
 	if !u.served && u.FailureDomain == p.settings.FailureDomain {
 		c.credit += firstCredit
@@ -277,7 +297,7 @@
 }
 
 // credit is what an answer after the given latency in ms is worth.
-func (p *Pool) credit(latency float64, work Work, now boottime.Instant) float64 {
+func (p *Pool) credit(latency float64, work *Work, now boottime.Instant) float64 {
 	deviation := spread*latency + spreadFloor
 	onTime := chance(milliseconds(work.Objective.Sub(now))-latency, deviation)
 	inTime := chance(milliseconds(work.Limit.Sub(now))-latency, deviation)
@@ -316,7 +336,7 @@
 const queueShare = 0.3
 
 // hopeless says why a request should not be sent to an upstream.
-func hopeless(c candidate, work Work, now boottime.Instant) (Reason, time.Duration) {
+func hopeless(c *candidate, work *Work, now boottime.Instant) (Reason, time.Duration) {
 	left := milliseconds(work.Limit.Sub(now))
 	expected := c.workWarm
 	if c.warm < likelyWarm {
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"peridotrail/internal/boottime"
@@ -291,7 +292,7 @@
 	if err != nil {
 		return nil
 	}
-	j.placed = placed
+	j.placed = &placed
 	for _, w := range s.workers {
 		if w.entry.ID == placed.Upstream.ID {
 			return w
@@ -311,11 +312,13 @@
 	return best
 }
 
+func hash(w *worker, j *job) uint64 { return xxhash.Sum64String(w.entry.ID + "\x00" + j.work.Object) }
+
 // localRendezvous takes the worker of the domain that hashing picks.
 func localRendezvous(s *simulation, j *job, domain string) *worker {
 	var best *worker
 	for _, w := range s.workers {
-		if w.entry.FailureDomain == domain && (best == nil || score(w.entry.ID, j.work.Object) > score(best.entry.ID, j.work.Object)) {
+		if w.entry.FailureDomain == domain && (best == nil || hash(w, j) > hash(best, j)) {
 			best = w
 		}
 	}
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -32,7 +32,9 @@
 // upstream is what a host believes of one upstream.
 type upstream struct {
 	catalog.Upstream
-	region string
+	region       string
+	domain       int // number of its failure domain in the service
+	regionNumber int // number of its region in the service
 
 	inflight int
 	served   bool             // this host has sent a request there
@@ -54,7 +56,6 @@
 		Upstream: entry, region: region, slots: max(entry.Slots, 1),
 		slowness: 1, trust: 1,
 		coldSends: quota.NewWindow(time.Second),
-		memory:    newMemory(),
 	}
 }
 
