--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -164,6 +164,7 @@
 		calls++
 		switch calls {
 		case 1:
+			f.set(func() { f.current = unavailable }) // only the watch tells of the end of the outage
 			return nil, 0, unavailable()
 		case 2:
 			return []kvstore.Entry{{Key: "k"}}, 8, nil
