Check policy and keys again right before the first attempt

Change: policy and keys are looked at before each attempt, the service of a split is chosen anew if the route no longer targets it, and the spent token remembers whose it was.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -32,7 +32,7 @@
 	placed     *placement.Placement // of the last attempt
 	tried      []string
 	attempts   int
-	admitted   bool   // a token of the account's rate was spent
+	paidBy     string // client account whose rate was spent, empty if none was
 	mayHaveRun bool   // an upstream may have run the request
 	last       string // result of the last attempt, for the log
 }
@@ -101,8 +101,7 @@
 	return defaultBodyBytes
 }
 
-// authorise finds the route and the account under the policy in force now. It is
-// repeated before each attempt.
+// authorise finds the route and the account under the policy in force now.
 func (x *exchange) authorise() *problem.Problem {
 	g := x.gateway
 	table := g.state.table.Load()
@@ -191,7 +190,7 @@
 			x.mayHaveRun = true
 		case resultCancelled:
 			x.mayHaveRun = true
-			return x.expired(ctx)
+			return x.expired()
 		}
 		if x.mayHaveRun && !x.route.Idempotent {
 			return x.unknown("the upstream gave no answer")
@@ -207,62 +206,95 @@
 
 // place chooses the upstream of the next attempt.
 func (x *exchange) place() (*placement.Placement, *problem.Problem) {
-	if x.attempts > 0 {
-		if refusal := x.authorise(); refusal != nil {
-			return nil, x.exhausted(refusal.Detail)
-		}
-	}
 	if refusal := x.admit(); refusal != nil {
 		return nil, refusal
 	}
+	if refusal := x.renew(); refusal != nil {
+		x.giveBack()
+		return nil, refusal
+	}
 	now := boottime.Now()
-	chosen, err := x.gateway.state.pool.Place(x.work(), now)
-	placed := &chosen
+	placed, err := x.gateway.state.pool.Place(x.work(), now)
 	if err != nil {
 		x.giveBack()
-		refused, _ := err.(*placement.RefusedError)
-		if x.mayHaveRun {
-			return nil, x.unknown(refused.Error())
-		}
-		return nil, notRun(problem.TypeOverloaded, refused.Error()).After(refused.RetryAfter)
+		return nil, x.noPlace(err)
 	}
 	if x.attempts == 0 {
 		x.gateway.limits.firstSend(x.service, now)
 	}
 	x.attempts++
-	x.placed = placed
+	x.placed = &placed
 	x.tried = append(x.tried, placed.Upstream.ID)
-	return placed, nil
+	return x.placed, nil
+}
+
+// noPlace answers a request for which no upstream was found.
+func (x *exchange) noPlace(err error) *problem.Problem {
+	if x.mayHaveRun {
+		return x.unknown(err.Error())
+	}
+	after := exhaustedRetry
+	var refused *placement.RefusedError
+	if errors.As(err, &refused) {
+		after = refused.RetryAfter
+	}
+	return notRun(problem.TypeOverloaded, err.Error()).After(after)
+}
+
+// renew looks at the policy and the keys again right before an attempt: the body
+// may have taken long to arrive, and an earlier attempt to fail.
+func (x *exchange) renew() *problem.Problem {
+	before := x.table
+	if refusal := x.authorise(); refusal != nil {
+		if x.attempts > 0 {
+			return x.exhausted(refusal.Detail)
+		}
+		return refusal
+	}
+	if x.table != before && !targets(x.route, x.service) {
+		x.service = x.gateway.splitter.choose(x.route)
+	}
+	return nil
+}
+
+// targets reports whether a route sends requests to a service.
+func targets(route *routing.Route, service string) bool {
+	for _, target := range route.Targets {
+		if target.Service == service && target.Weight > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // admit spends one request of the account's rate, once.
 func (x *exchange) admit() *problem.Problem {
-	if x.account == nil || x.admitted {
+	if x.account == nil || x.paidBy != "" {
 		return nil
 	}
 	ok, wait := x.gateway.limits.takeRate(x.request.Context(), x.account.Name)
 	if !ok {
 		return notRun(problem.TypeRateExceeded, "client account "+x.account.Name).After(wait)
 	}
-	x.admitted = true
+	x.paidBy = x.account.Name
 	return nil
 }
 
 // giveBack returns the token of a request that no upstream was asked to run.
 func (x *exchange) giveBack() {
-	if x.admitted && x.attempts == 0 {
-		x.gateway.limits.returnRate(x.account.Name)
-		x.admitted = false
+	if x.paidBy != "" && x.attempts == 0 {
+		x.gateway.limits.returnRate(x.paidBy)
+		x.paidBy = ""
 	}
 }
 
 // expired ends a request whose time is over or whose caller has left.
-func (x *exchange) expired(ctx context.Context) *problem.Problem {
+func (x *exchange) expired() *problem.Problem {
+	detail := "no answer in time"
 	if x.request.Context().Err() != nil {
-		return problem.New(problem.TypeDeadlineExceeded, problem.ExecutedUnknown, "the caller left")
+		detail = "the caller left"
 	}
-	_ = ctx
-	return problem.New(problem.TypeDeadlineExceeded, problem.ExecutedUnknown, "no answer in time")
+	return problem.New(problem.TypeDeadlineExceeded, problem.ExecutedUnknown, detail)
 }
 
 func (x *exchange) unknown(detail string) *problem.Problem {
