Drop what the adapter decoded and nothing used

Cause: idle times of upstreams, descriptors, health paths and limits on heads were decoded and read by nobody; the host's own bound on heads was tighter than a policy may be. Change: they are gone; heads may take 30 s and 1 MB, wider than policies allow.

--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -57,7 +57,6 @@
 	Moved    bool            // the address belongs to another upstream
 	Load     *placement.Load // nil: not told
 	ColdLeft time.Duration   // how long the upstream stays cold, zero if it is not
-	IdleKept time.Duration   // how long it keeps an idle connection, zero: not told
 }
 
 // Lookup is a question for entry hosts.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -23,11 +23,11 @@
 	// finishBefore is the part of the grace at which the process ends.
 	finishBefore = 0.95
 	// headerTimeout bounds how long a caller may take to send a request's head.
-	headerTimeout = 5 * time.Second
+	headerTimeout = 30 * time.Second
 	// idleTimeout is longer than callers keep idle connections.
 	idleTimeout = 90 * time.Second
 	// headerBytes bounds the head of a request.
-	headerBytes = 64 << 10
+	headerBytes = 1 << 20
 )
 
 // Run serves until ctx ends, then shuts down gracefully within the grace.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -20,7 +20,6 @@
 	MetricsPort uint16 // of /metrics on the address for callers; zero: none
 
 	MemoryLimit int64 // bytes; zero: no limit
-	Descriptors int   // zero: no limit
 
 	Grace              time.Duration // from SIGTERM until the process must have ended
 	PolicyDelay        time.Duration // from the acceptance of a policy until it is in force
--- a/internal/routing/model.go
+++ b/internal/routing/model.go
@@ -44,7 +44,6 @@
 // Service is a set of upstreams that serve the same requests.
 type Service struct {
 	Name           string
-	HealthPath     string
 	MaxConnections int           // to one upstream, over all hosts together
 	ColdStart      time.Duration // how long an upstream is cold after its start
 	ColdRate       float64       // requests a second that a cold upstream bears; zero: no bound
@@ -62,8 +61,5 @@
 
 // Limits bound what callers may send. Zero means the host's own default.
 type Limits struct {
-	HeaderBytes   int64
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
