Let one host of a failure domain follow the store for the others

Change: a replica may follow another one of its failure domain over HTTP (internal/cascade). Answers carry the age of the proof and the count of outages; a follower goes back to the store when the answer is late or the proof older than 0.6 of the time in which changes must be known. Proofs of hosts that nobody follows are sought after 0.48 of KeyAge (0.4 before): one failed call and its repetition still fit.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,6 +12,8 @@
 	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/boottime"
+	"peridotrail/internal/cascade"
+	"peridotrail/internal/catalog"
 	"peridotrail/internal/lending"
 	"peridotrail/internal/observe"
 )
@@ -41,7 +43,11 @@
 		return err
 	}
 	g.limits.lendBy(exchange)
-	g.state.setPeers(exchange.SetPeers)
+	g.state.watchHosts(func(hosts []catalog.Host) {
+		settings := g.settings.get()
+		exchange.SetPeers(peersOf(hosts, *settings))
+		g.replica.SetPeers(settings.Host, neighboursOf(hosts, *settings))
+	})
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	registered, withdraw := context.WithCancel(background)
@@ -96,19 +102,20 @@
 // listen opens the listeners and serves them.
 func (g *Gateway) listen() ([]*http.Server, error) {
 	settings := g.settings.get()
-	handlers := []struct {
+	type endpoint struct {
 		address string
 		handler http.Handler
-	}{
+	}
+	handlers := []endpoint{
 		{settings.ListenCallers, http.HandlerFunc(g.requests)},
 		{settings.ListenReady, http.HandlerFunc(g.readiness)},
 		{settings.ListenLookups, http.HandlerFunc(g.lookups)},
 	}
 	if settings.MetricsPort != 0 {
-		handlers = append(handlers, struct {
-			address string
-			handler http.Handler
-		}{withPort(settings.ListenCallers, settings.MetricsPort), observe.TextHandler(metricsPrefix, g.counters.registry)})
+		handlers = append(handlers, endpoint{withPort(settings.ListenCallers, settings.MetricsPort), observe.TextHandler(metricsPrefix, g.counters.registry)})
+	}
+	if settings.ListenPeers != "" {
+		handlers = append(handlers, endpoint{settings.ListenPeers, cascade.Handler(g.replica, g.logger)})
 	}
 	var servers []*http.Server
 	for _, each := range handlers {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -55,7 +55,7 @@
 const (
 	// proofPart is the part of KeyAge after which a new proof is sought that the
 	// keys are current. It leaves time for one call that fails and its repetition.
-	proofPart = 0.4
+	proofPart = 0.48
 	// batchPart is the part of the time to put a policy in force that changes
 	// gather before they are read.
 	batchPart = 0.2
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"peridotrail/internal/catalog"
+	"peridotrail/internal/replica"
 )
 
 // peersOf returns the addresses of the other hosts, nearest first.
@@ -33,6 +34,17 @@
 	return peers
 }
 
+// neighboursOf returns the other hosts of this host's failure domain.
+func neighboursOf(hosts []catalog.Host, settings Settings) []replica.Peer {
+	var peers []replica.Peer
+	for _, host := range hosts {
+		if host.FailureDomain == settings.FailureDomain && host.Name != settings.Host && host.Peer != "" {
+			peers = append(peers, replica.Peer{Name: host.Name, Address: host.Peer})
+		}
+	}
+	return peers
+}
+
 // distinct keeps the newest incarnation of each host.
 func distinct(all []catalog.Host) []catalog.Host {
 	newest := map[string]int{}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,8 +28,8 @@
 	limits   *limits
 	// onUpstreams is called with the upstreams that are known, after each change.
 	onUpstreams func([]catalog.Upstream)
-	// onPeers is called with the other hosts, nearest first, after each change.
-	onPeers func([]netip.AddrPort)
+	// onHosts is called with all hosts that are known, after each change.
+	onHosts func([]catalog.Host)
 
 	table atomic.Pointer[routing.Table]
 	hosts atomic.Pointer[[]catalog.Host]
@@ -50,7 +49,7 @@
 		upstreams: catalog.NewSet[catalog.Upstream](),
 		members:   catalog.NewSet[catalog.Host](),
 		evacuated: map[string]bool{},
-		onPeers:   func([]netip.AddrPort) {},
+		onHosts:   func([]catalog.Host) {},
 	}
 	s.hosts.Store(&[]catalog.Host{})
 	initial := settings.get()
@@ -249,13 +248,13 @@
 	s.onUpstreams(upstreams)
 	hosts := distinct(s.members.All())
 	s.hosts.Store(&hosts)
-	s.onPeers(peersOf(hosts, *s.settings.get()))
+	s.onHosts(hosts)
 	s.limits.update(s.table.Load(), shareOf(hosts, *s.settings.get()), len(hosts), boottime.Now())
 }
 
-// setPeers sets the receiver of the other hosts' addresses.
-func (s *state) setPeers(f func([]netip.AddrPort)) {
+// watchHosts sets the receiver of the hosts that are known.
+func (s *state) watchHosts(f func([]catalog.Host)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.onPeers = f
+	s.onHosts = f
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,9 +1,11 @@
 // Package replica follows a store: it keeps a handler informed of every change
-// and knows until when its picture is proved to be current.
+// and knows until when its picture is proved to be current. It may follow another
+// replica in place of the store, as long as that one is current itself.
 package replica
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -39,6 +41,11 @@
 	ProofInterval time.Duration
 	// Batch is the pause between two watches, in which changes gather.
 	Batch time.Duration
+	// Source reaches other replicas; nil follows the store only.
+	Source Source
+	// Delay is the time within which a change of the store must be known here. It
+	// bounds how old the proof of a followed host may be. Needed with Source.
+	Delay time.Duration
 }
 
 const (
@@ -46,8 +53,8 @@
 	watchWait = 20 * time.Second
 	// callTimeout bounds each call that does not wait.
 	callTimeout = 1500 * time.Millisecond
-	// catchUpWait is how long a watch may lag behind a proved revision before its
-	// connection is taken for dead.
+	// catchUpWait is how long a watch may lag behind a proved revision, beyond the
+	// pause between two watches, before its connection is taken for dead.
 	catchUpWait = 400 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call. A host must be
 	// current again within a second or two of the end of an outage.
@@ -62,15 +69,26 @@
 	applied atomic.Uint64 // revision up to which the handler was informed
 	proved  atomic.Int64  // boottime.Instant at which the picture was last proved current
 	lost    atomic.Bool
+	outages atomic.Uint64 // of the store, that have ended
+	asked   atomic.Int64  // boottime.Instant at which another replica last asked
 
-	mu     sync.Mutex // guards cancel and wake
-	cancel context.CancelFunc
-	wake   chan struct{} // closed and replaced when applied grows
+	hurry chan struct{} // ends the pause between two watches
+	rouse chan struct{} // ends the pause between two proofs
+
+	// following and seenOutages belong to the goroutine that follows.
+	following   string // name of the followed host, empty: the store
+	seenOutages uint64 // that the followed host has told
+
+	mu      sync.Mutex // guards the fields below
+	cancel  context.CancelFunc
+	wake    chan struct{} // closed and replaced when applied grows
+	history history
+	roster  roster
 }
 
 // New returns a replica that has seen nothing.
 func New(options Options) *Replica {
-	return &Replica{options: options, wake: make(chan struct{})}
+	return &Replica{options: options, wake: make(chan struct{}), hurry: make(chan struct{}, 1), rouse: make(chan struct{}, 1)}
 }
 
 // Proof returns the last instant at which the picture is known to have been
@@ -89,11 +107,14 @@
 	backoff := retryLeast
 	loaded := false
 	for ctx.Err() == nil {
+		if peer, ok := r.leader(); ok && loaded && r.stepBehind(ctx, peer) == nil {
+			continue
+		}
 		err := r.step(ctx, &loaded)
 		switch {
 		case err == nil:
 			backoff = retryLeast
-			pause(ctx, r.options.Batch)
+			r.gather(ctx)
 		case kvstore.IsKind(err, kvstore.KindCompacted):
 			loaded = false
 			_ = level.Warn(r.options.Logger).Log("event", "store history lost", "applied", r.applied.Load())
@@ -104,6 +125,17 @@
 	}
 }
 
+// gather lets changes gather before the next watch, unless a proof waits for them.
+func (r *Replica) gather(ctx context.Context) {
+	timer := time.NewTimer(r.options.Batch)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.hurry:
+	case <-ctx.Done():
+	}
+}
+
 // step makes one snapshot or one watch.
 func (r *Replica) step(ctx context.Context, loaded *bool) error {
 	if !*loaded {
@@ -120,18 +152,27 @@
 	sent := boottime.Now()
 	entries, at, err := r.options.Feed.Watch(watch, "", kvstore.Revision(r.applied.Load()), watchWait)
 	if err != nil {
-		if !kvstore.IsKind(err, kvstore.KindCompacted) && ctx.Err() == nil {
+		restarted := errors.Is(watch.Err(), context.Canceled) // says nothing of the store
+		if !restarted && !kvstore.IsKind(err, kvstore.KindCompacted) {
 			r.failed(err)
 		}
 		return err
 	}
 	r.regained() // before the changes: entries may have lapsed during the outage
+	r.take(entries, at)
+	r.noteProof(sent)
+	return nil
+}
+
+// take hands changes on and keeps them for the hosts that follow this one.
+func (r *Replica) take(entries []kvstore.Entry, at kvstore.Revision) {
 	if len(entries) > 0 {
 		r.options.Handler.Apply(entries)
 	}
+	r.mu.Lock()
+	r.history.add(entries, at)
+	r.mu.Unlock()
 	r.advance(at)
-	r.noteProof(sent)
-	return nil
 }
 
 func (r *Replica) load(ctx context.Context) error {
@@ -145,6 +186,9 @@
 	recovered := r.lost.Load()
 	r.regained()
 	r.options.Handler.Reset(entries, recovered)
+	r.mu.Lock()
+	r.history.restart(at)
+	r.mu.Unlock()
 	r.advance(at)
 	r.noteProof(sent)
 	return nil
@@ -164,9 +208,9 @@
 // answer. Watches that answer are proofs as well.
 func (r *Replica) prove(ctx context.Context) {
 	for ctx.Err() == nil {
-		due := r.Proof().Add(r.options.ProofInterval)
+		due := r.Proof().Add(r.proofInterval())
 		if wait := due.Sub(boottime.Now()); wait > 0 && r.applied.Load() != 0 {
-			pause(ctx, wait)
+			r.awaitProof(ctx, wait)
 			continue
 		}
 		if !r.proveOnce(ctx) {
@@ -175,6 +219,25 @@
 	}
 }
 
+// awaitProof waits until the next proof is due or another host begins to rely on it.
+func (r *Replica) awaitProof(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.rouse:
+	case <-ctx.Done():
+	}
+}
+
+// proofInterval is shorter while other hosts rely on the proofs of this one.
+func (r *Replica) proofInterval() time.Duration {
+	if r.followed(boottime.Now()) {
+		return min(r.options.ProofInterval, part(r.options.Delay, followedProof))
+	}
+	return r.options.ProofInterval
+}
+
 func (r *Replica) proveOnce(ctx context.Context) bool {
 	if r.applied.Load() == 0 {
 		return false
@@ -203,7 +266,7 @@
 
 // awaitApplied waits until the handler knows all changes up to a revision.
 func (r *Replica) awaitApplied(ctx context.Context, at kvstore.Revision) bool {
-	timer := time.NewTimer(catchUpWait)
+	timer := time.NewTimer(r.options.Batch + catchUpWait)
 	defer timer.Stop()
 	for {
 		r.mu.Lock()
@@ -212,6 +275,7 @@
 		if r.applied.Load() >= uint64(at) {
 			return true
 		}
+		signal(r.hurry)
 		select {
 		case <-wake:
 		case <-timer.C:
@@ -250,11 +314,20 @@
 
 func (r *Replica) regained() {
 	if r.lost.Swap(false) {
+		r.outages.Add(1)
 		_ = level.Info(r.options.Logger).Log("event", "store regained", "applied", r.applied.Load())
 		r.options.Handler.StoreRegained()
 	}
 }
 
+// signal tells a goroutine once, however often it is called before that looks.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -187,3 +187,17 @@
 	back := boottime.Now()
 	require.Eventually(t, func() bool { return r.Proof() > back }, 600*time.Millisecond, 5*time.Millisecond)
 }
+
+// A watch that is ended here because its connection is taken for dead is no outage
+// of the store: entries that vanish afterwards have not lapsed.
+func TestARestartedWatchIsNoOutage(t *testing.T) {
+	f := &feed{revision: 7, watch: silent}
+	r, handler := run(t, f)
+	require.Eventually(t, func() bool { return r.Proof() != 0 }, time.Second, time.Millisecond)
+	for range 3 {
+		time.Sleep(5 * time.Millisecond)
+		r.restartWatch()
+	}
+	time.Sleep(20 * time.Millisecond)
+	require.NotContains(t, handler.all(), "lost")
+}
