Keep shares of a small burst with their holders while demand is steady

Cause of TestRateChange (use of 78 to 92% of a rate of 20/s, target 95%): a burst of 10 suffices for two shares, three hosts have the same demand but for noise, and each change of their order moved a share. A share that moves is given back, confirmed and given again, so half of the rate was used by no one for about a second (seen in a trace of all shares each second of virtual time).

Change: the present holders stay unless another one's demand is eight times theirs (the factor that held for a single holder before), their bursts fall below 0.75 of the smallest useful one, or all of a larger set get 1.25 of it.

--- a/internal/allotment/division.go
+++ b/internal/allotment/division.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -11,9 +12,13 @@
 	hostIdle = 0.1
 	// minHostBurst is the smallest burst worth a bucket of its own, in requests.
 	minHostBurst = 4.0
-	// keepFactor is how much another holder's demand must exceed the present one's
-	// before an undivided whole moves.
+	// keepFactor is how much another holder's demand must exceed a present one's
+	// before a share moves from the one to the other.
 	keepFactor = 8.0
+	// keepBurst and splitBurst are the factors on the smallest useful burst below
+	// which a present holder loses its share, and above which further holders get one.
+	keepBurst  = 0.75
+	splitBurst = 1.25
 )
 
 // claim is one holder's part in a division.
@@ -23,21 +28,16 @@
 }
 
 // divideRate splits an account's rate and burst by demand. A holder whose burst
-// would be below minBurst gets nothing; if all would be, one holder gets all.
+// would be below minBurst gets nothing; if all would be, one holder gets all. The
+// present holders stay while demand changes little, since a share that moves is
+// used by no one on the way.
 func divideRate(whole Share, claims []claim, idle, minBurst float64) []Share {
 	out := make([]Share, len(claims))
 	if len(claims) == 0 || whole.Rate <= 0 {
 		return out
 	}
 	weights := demandWeights(claims, idle)
-	chosen := byWeight(weights)
-	for len(chosen) > 1 && !splits(whole.Burst, weights, chosen, minBurst) {
-		chosen = chosen[:len(chosen)-1]
-	}
-	if len(chosen) == 1 {
-		out[keeper(claims, chosen[0])] = Share{Rate: whole.Rate, Burst: whole.Burst}
-		return out
-	}
+	chosen := choose(whole.Burst, claims, weights, minBurst)
 	total := sumOf(weights, chosen)
 	for _, i := range chosen {
 		f := weights[i] / total
@@ -83,23 +83,52 @@
 
 // splits reports whether the lightest of the chosen still gets a useful burst.
 func splits(burst float64, weights []float64, chosen []int, minBurst float64) bool {
-	lightest := weights[chosen[len(chosen)-1]]
+	lightest := math.Inf(1)
+	for _, i := range chosen {
+		lightest = min(lightest, weights[i])
+	}
 	return burst*lightest/sumOf(weights, chosen) >= minBurst
 }
 
-// keeper returns the present holder of most of the rate unless the demand at
-// best is far higher.
-func keeper(claims []claim, best int) int {
-	present := best
+// choose returns the claims that get a share.
+func choose(burst float64, claims []claim, weights []float64, minBurst float64) []int {
+	best := byWeight(weights)
+	for len(best) > 1 && !splits(burst, weights, best, minBurst) {
+		best = best[:len(best)-1]
+	}
+	var present, others []int
 	for i, c := range claims {
-		if c.current.Rate > claims[present].current.Rate {
-			present = i
+		if c.current.Rate > 0 {
+			present = append(present, i)
+		} else {
+			others = append(others, i)
 		}
 	}
-	if claims[present].current.Rate > 0 && claims[best].demand <= keepFactor*claims[present].demand {
+	switch {
+	case len(present) == 0,
+		len(best) > len(present) && splits(burst, weights, best, minBurst*splitBurst),
+		len(present) > 1 && !splits(burst, weights, present, minBurst*keepBurst),
+		mostDemand(claims, others) > keepFactor*leastDemand(claims, present):
+		return best
+	default:
 		return present
 	}
-	return best
+}
+
+func mostDemand(claims []claim, of []int) float64 {
+	most := 0.0
+	for _, i := range of {
+		most = max(most, claims[i].demand)
+	}
+	return most
+}
+
+func leastDemand(claims []claim, of []int) float64 {
+	least := math.Inf(1)
+	for _, i := range of {
+		least = min(least, claims[i].demand)
+	}
+	return least
 }
 
 // divideSlots splits an upstream's slots by demand in whole numbers; the
