Wait for a neighbour before a leader's planned stop

Cause of TestOwnKeysOutliveARollingRestart (4 of 12 runs failed): a host that has just started is known to the leader of its failure domain only with its first heartbeat, up to a second after it says that it is ready. A leader that stops within that second knew no host of its domain to hand the records of own idempotency keys to, so the next leader began with a quarantine of 5 minutes (traced: no HandOver in the failed runs, one to the new host in the others).

The last host of a domain stops that much later.

--- a/internal/admission/runtime_test.go
+++ b/internal/admission/runtime_test.go
@@ -11,7 +11,6 @@
 
 	"peridotrail/internal/admission"
 	"peridotrail/internal/configuration"
-	"peridotrail/internal/knownred"
 )
 
 var oneAccount = []configuration.ClientAccount{{Name: "a", Rate: 60, Burst: 60}}
@@ -143,7 +142,6 @@
 }
 
 func TestRateChange(t *testing.T) {
-	knownred.PassOver(t)
 	runFleet(t, []int{0, 1, 0}, func(f *testFleet) {
 		time.Sleep(5 * time.Second)
 		f.configure(func(c *configuration.Configuration) { c.ClientAccounts[0].Rate, c.ClientAccounts[0].Burst = 20, 10 })
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"peridotrail/internal/host"
 	"peridotrail/internal/invariant"
 )
 
@@ -20,6 +22,7 @@
 	h.front.server.Quiesce()
 	wait(ctx, h.options.Settings.Shutdown.Notice.Std())
 	err := h.front.drain(ctx)
+	h.state.awaitNeighbour(ctx)
 	h.front.once.handOver(ctx)
 	invariant.Check(err != nil || h.front.active.Count()+h.front.inUse() == 0, invariant.GracefulShutdown,
 		"%d callers and %d upstream requests were still active", h.front.active.Count(), h.front.inUse())
@@ -32,6 +35,33 @@
 	return err
 }
 
+// neighbourWait is how long a leader that stops waits for another host of its
+// failure domain to be known: two heartbeats and their way.
+const neighbourWait = 2500 * time.Millisecond
+
+// awaitNeighbour waits until another host of the failure domain is live that can
+// take over what this leader holds. One that has just started is known only with
+// its first heartbeat.
+func (s *state) awaitNeighbour(ctx context.Context) {
+	if _, leads := s.leaders.Leading(); !leads {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, neighbourWait)
+	defer cancel()
+	for !s.hasNeighbour() {
+		if err := wait(ctx, drainPoll); err != nil {
+			_ = level.Info(s.host.logger).Log("event", "no other host of the failure domain takes over", "waited", neighbourWait)
+			return
+		}
+	}
+}
+
+func (s *state) hasNeighbour() bool {
+	return slices.ContainsFunc(s.members.Members(), func(m host.Member) bool {
+		return m.State == host.StateLive && m.Identity.FailureDomain == s.host.self.FailureDomain
+	})
+}
+
 // Kill ends the host at once and cuts what runs, as the end of its process
 // would.
 func (h *Host) Kill() {
--- a/test/once/once_test.go
+++ b/test/once/once_test.go
@@ -192,7 +192,6 @@
 // failure domain lose neither records nor the right to begin. The requests are
 // sent through the other domain, whose upstreams are free all the time.
 func TestOwnKeysOutliveARollingRestart(t *testing.T) {
-	knownred.PassOver(t)
 	f := newFixture(t)
 	var keys []string
 	for i := range 8 {
