Log changed account rates; move shares only to a demand worth a share

The rate of a client account, its version and this host's share are one line when they change.

Cause of the refusals in TestTheFleetServesOnWithoutAStore, found in a trace of all shares at the first refusal: 0.8 s after the load had begun, the shares of two of three failure domains were on their way between hosts, because the holder's own demand was not measured yet and any demand exceeds eight times nothing. Change: a share moves only to a demand of a quarter of the rate or more; smaller demands are met by loans. The new case of TestSharesFollowDemand failed before.

--- a/internal/allotment/division.go
+++ b/internal/allotment/division.go
@@ -15,6 +15,9 @@
 	// keepFactor is how much another holder's demand must exceed a present one's
 	// before a share moves from the one to the other.
 	keepFactor = 8.0
+	// moveFraction is the part of the whole rate that a holder's demand must reach
+	// before a share moves to it. Smaller demands are met by loans.
+	moveFraction = 0.25
 	// keepBurst and splitBurst are the factors on the smallest useful burst below
 	// which a present holder loses its share, and above which further holders get one.
 	keepBurst  = 0.75
@@ -37,7 +40,7 @@
 		return out
 	}
 	weights := demandWeights(claims, idle)
-	chosen := choose(whole.Burst, claims, weights, minBurst)
+	chosen := choose(whole, claims, weights, minBurst)
 	total := sumOf(weights, chosen)
 	for _, i := range chosen {
 		f := weights[i] / total
@@ -91,9 +94,9 @@
 }
 
 // choose returns the claims that get a share.
-func choose(burst float64, claims []claim, weights []float64, minBurst float64) []int {
+func choose(whole Share, claims []claim, weights []float64, minBurst float64) []int {
 	best := byWeight(weights)
-	for len(best) > 1 && !splits(burst, weights, best, minBurst) {
+	for len(best) > 1 && !splits(whole.Burst, weights, best, minBurst) {
 		best = best[:len(best)-1]
 	}
 	var present, others []int
@@ -106,9 +109,9 @@
 	}
 	switch {
 	case len(present) == 0,
-		len(best) > len(present) && splits(burst, weights, best, minBurst*splitBurst),
-		len(present) > 1 && !splits(burst, weights, present, minBurst*keepBurst),
-		mostDemand(claims, others) > keepFactor*leastDemand(claims, present):
+		len(best) > len(present) && splits(whole.Burst, weights, best, minBurst*splitBurst),
+		len(present) > 1 && !splits(whole.Burst, weights, present, minBurst*keepBurst),
+		mostDemand(claims, others) > max(keepFactor*leastDemand(claims, present), moveFraction*whole.Rate):
 		return best
 	default:
 		return present
--- a/internal/allotment/division_test.go
+++ b/internal/allotment/division_test.go
@@ -69,6 +69,8 @@
 	}{
 		{"to a holder with far more demand", 10, []float64{1, 1, 100}, []float64{10, 10, 0}, []int{2}},
 		{"not to one with a little more", 10, []float64{10, 10, 40}, []float64{10, 10, 0}, []int{0, 1}},
+		{"not from one whose demand is not measured yet", 7, []float64{0, 2, 2}, []float64{20, 0, 0}, []int{0}},
+		{"from one without demand to one with much", 7, []float64{0, 6, 2}, []float64{20, 0, 0}, []int{1}},
 		{"from a holder without demand", 10, []float64{10, 0, 0}, []float64{10, 10, 0}, []int{0}},
 		{"to all when the burst has grown", 100, []float64{10, 10, 10}, []float64{20, 0, 0}, []int{0, 1, 2}},
 		{"to fewer when the burst has shrunk", 3, []float64{11, 10, 10}, []float64{7, 7, 6}, []int{0}},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,7 +60,7 @@
 		dialect:  o.Dialect,
 		logger:   o.Logger,
 		store:    o.Store,
-		limits:   newLimits(settings),
+		limits:   newLimits(settings, o.Logger),
 		splitter: newSplitter(),
 		counters: newCounters(o.Metrics),
 		lines:    &lineBudget{logger: o.Logger},
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/lending"
@@ -17,6 +19,7 @@
 // concurrent use.
 type limits struct {
 	settings *liveSettings
+	logger   log.Logger
 
 	mu      sync.Mutex // guards the fields below
 	hosts   int
@@ -29,12 +32,13 @@
 // rateBucket is a bucket with the requests that wait for borrowed tokens.
 type rateBucket struct {
 	quota.Bucket
+	whole   float64       // requests a second over all hosts
 	arrived chan struct{} // closed and replaced when an answer comes
 }
 
-func newLimits(settings *liveSettings) *limits {
+func newLimits(settings *liveSettings, logger log.Logger) *limits {
 	return &limits{
-		settings: settings, hosts: 1,
+		settings: settings, logger: logger, hosts: 1,
 		buckets: map[uint64]*rateBucket{},
 		repeats: map[string]*quota.RepeatBudget{},
 		ask:     func(uint64, float64) bool { return false },
@@ -70,6 +74,10 @@
 			bucket = &rateBucket{arrived: make(chan struct{})}
 			l.buckets[hash] = bucket
 		}
+		if account.Rate != bucket.whole {
+			_ = level.Info(l.logger).Log("event", "account rate", "account", account.Name, "rate", account.Rate, "burst", account.Burst, "before", bucket.whole, "share", share, "version", table.Version())
+			bucket.whole = account.Rate
+		}
 		bucket.SetLimit(account.Rate*share, max(account.Burst*share, 1), now)
 	}
 	for hash := range l.buckets {
