Keep the shape of each log line; answer a request whose handling panics

A panic closed the connection without an answer and a line; now the request is answered 500 unless an answer has begun, counted and logged with its stack. TestPanicEndsOneRequestOnly failed before.

What must hold is asserted before each attempt (once only, owned by an account, keys proved current, upstream not draining) and each refusal (not run), in the bucket and counted and logged in service. The hop-by-hop headers stood twice; they are in entry/forward now.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -85,7 +85,7 @@
 // once its body has been read.
 func writeTrailers(w http.ResponseWriter, response *http.Response) {
 	for name, values := range response.Trailer {
-		if !hopByHop[name] && !strings.HasPrefix(name, headerPrefix) {
+		if !forward.HopByHop(name) && !strings.HasPrefix(name, headerPrefix) {
 			w.Header()[name] = values
 		}
 	}
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -2,8 +2,9 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"strings"
+
+	"peridotrail/internal/entry/forward"
 )
 
 // Headers of the product. Other headers with the prefix are removed from
@@ -25,20 +26,6 @@
 	maxUnescapeDepth = 3
 )
 
-var hopByHop = map[string]bool{
-	"Connection":          true,
-	"Proxy-Connection":    true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-	"Expect":              true,
-	"Content-Length":      true,
-}
-
 // protected headers may not be named by a Connection header.
 var protected = map[string]bool{
 	authorization:       true,
@@ -50,23 +37,6 @@
 	IdempotencyKey:      true,
 }
 
-// connectionTokens returns the canonical names that Connection headers list.
-func connectionTokens(header http.Header) []string {
-	values := header["Connection"]
-	if len(values) == 0 {
-		return nil
-	}
-	var tokens []string
-	for _, value := range values {
-		for token := range strings.SplitSeq(value, ",") {
-			if token = strings.Trim(token, " \t"); token != "" {
-				tokens = append(tokens, textproto.CanonicalMIMEHeaderKey(token))
-			}
-		}
-	}
-	return tokens
-}
-
 func isListed(tokens []string, name string) bool {
 	for _, token := range tokens {
 		if token == name {
@@ -79,9 +49,9 @@
 // copyEndToEnd copies the headers that pass a hop. Product headers and those
 // named by Connection are left out. The value slices are shared.
 func copyEndToEnd(to, from http.Header) {
-	tokens := connectionTokens(from)
+	tokens := forward.ConnectionTokens(from)
 	for name, values := range from {
-		if hopByHop[name] || strings.HasPrefix(name, headerPrefix) || isListed(tokens, name) {
+		if forward.HopByHop(name) || strings.HasPrefix(name, headerPrefix) || isListed(tokens, name) {
 			continue
 		}
 		to[name] = values
--- a/internal/entry/sanitise.go
+++ b/internal/entry/sanitise.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 
+	"peridotrail/internal/entry/forward"
 	"peridotrail/internal/entry/guard"
 	"peridotrail/internal/problem"
 )
@@ -107,7 +108,7 @@
 	if len(header["Upgrade"]) > 0 {
 		return malformed("protocol upgrades are not accepted")
 	}
-	for _, token := range connectionTokens(header) {
+	for _, token := range forward.ConnectionTokens(header) {
 		if protected[token] || token == "Upgrade" || strings.HasPrefix(token, headerPrefix) {
 			return malformed("the Connection header names " + token)
 		}
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -32,3 +32,8 @@
 func (c *counters) attempted(result string) {
 	metrics.GetOrRegisterCounter("attempt.result."+result, c.registry).Inc(1)
 }
+
+// panicked counts a request whose handling panicked.
+func (c *counters) panicked() {
+	metrics.GetOrRegisterCounter("request.panics", c.registry).Inc(1)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -34,6 +34,7 @@
 	attempts   int
 	paidBy     string // client account whose rate was spent, empty if none was
 	mayHaveRun bool   // an upstream may have run the request
+	delivering bool   // an answer may have begun
 	last       string // result of the last attempt, for the log
 }
 
@@ -43,6 +44,11 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() {
+		if reason := recover(); reason != nil {
+			x.recovered(w, reason)
+		}
+	}()
 	refusal := x.prepare()
 	if x.payload != nil {
 		defer x.payload.Release()
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -146,6 +146,17 @@
 	return false, wait, bucket.arrived
 }
 
+// rateOf returns a copy of an account's bucket for the log, empty if its rate is
+// not limited.
+func (l *limits) rateOf(account string) rateBucket {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if bucket := l.buckets[accountHash(account)]; bucket != nil {
+		return *bucket
+	}
+	return rateBucket{}
+}
+
 // Lend implements lending.Lender.
 func (l *limits) Lend(account uint64, want float64) float64 {
 	l.mu.Lock()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -6,13 +6,13 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 	"syscall"
 
 	"github.com/go-faster/errors"
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/entry/forward"
+	"peridotrail/internal/invariant"
 	"peridotrail/internal/placement"
 	"peridotrail/internal/problem"
 )
@@ -43,6 +43,7 @@
 
 // send makes one attempt and tells the placement what came of it.
 func (x *exchange) send(ctx context.Context, placed *placement.Placement) answer {
+	x.checkAttempt(placed)
 	response, err := x.gateway.transports.to(placed.Upstream).RoundTrip(x.outbound(ctx, placed))
 	if err != nil {
 		return x.failed(ctx, placed, err)
@@ -74,6 +75,19 @@
 	return a
 }
 
+// checkAttempt asserts what must hold before an upstream is asked to run a request.
+func (x *exchange) checkAttempt(placed *placement.Placement) {
+	invariant.Check(x.route.Idempotent || !x.mayHaveRun, invariant.AtMostOnce,
+		"request %s is sent again though it may have run", x.call.ID)
+	invariant.Check(x.route.Open || x.account != nil, invariant.KeyOwnsRequest,
+		"request %s on route %s belongs to no client account", x.call.ID, x.route.Name)
+	age, current := x.gateway.keysCurrent(boottime.Now())
+	invariant.Check(x.route.Open || current || age < x.gateway.settings.get().KeyAge, invariant.WithdrawnKeyStops,
+		"request %s is sent under keys proved current %v ago", x.call.ID, age)
+	invariant.Check(!placed.Upstream.Draining, invariant.LeavingUpstreamQuiet,
+		"request %s is sent to upstream %s, which drains", x.call.ID, placed.Upstream.ID)
+}
+
 // report tells the placement of an answer. An upstream that gives up at the
 // deadline it was given has not failed.
 func (x *exchange) report(status int, reply Reply, bodyBytes int) placement.Report {
@@ -201,27 +215,17 @@
 	return request.WithContext(ctx)
 }
 
-// hopByHop headers concern one connection only.
-var hopByHop = map[string]bool{
-	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true,
-	"Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Expect": true, "Content-Length": true,
-}
-
 // endToEnd returns the headers that pass a hop.
 func endToEnd(from http.Header) http.Header {
 	to := make(http.Header, len(from))
 	for name, values := range from {
-		if !hopByHop[name] {
+		if !forward.HopByHop(name) {
 			to[name] = values
 		}
 	}
-	for _, value := range from["Connection"] {
-		for token := range strings.SplitSeq(value, ",") {
-			if name := http.CanonicalHeaderKey(strings.TrimSpace(token)); !essential[name] {
-				delete(to, name)
-			}
+	for _, name := range forward.ConnectionTokens(from) {
+		if !essential[name] {
+			delete(to, name)
 		}
 	}
 	return to
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"peridotrail/internal/boottime"
+	"peridotrail/internal/invariant"
 )
 
 const (
@@ -70,6 +71,7 @@
 		return true, 0
 	}
 	if b.tokens >= 1 {
+		invariant.Check(b.tokens <= b.burst, invariant.RateWithinWhole, "%v tokens of a burst of %v", b.tokens, b.burst)
 		b.tokens--
 		return true, 0
 	}
@@ -80,6 +82,16 @@
 	return false, max(leastReturn, time.Duration(turn*float64(time.Second)))
 }
 
+// Rate returns this host's part of the rate, in tokens a second.
+func (b *Bucket) Rate() float64 { return b.rate }
+
+// Tokens returns the tokens that were left at the last change, borrowed ones
+// included.
+func (b *Bucket) Tokens() float64 { return b.tokens + b.borrowed }
+
+// WantedRate returns the averaged demand, in requests a second.
+func (b *Bucket) WantedRate() float64 { return b.demand }
+
 // Return gives back a token whose request was not sent.
 func (b *Bucket) Return() { b.tokens = min(b.tokens+1, b.burst) }
 
--- a/test/failure/rate_test.go
+++ b/test/failure/rate_test.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"peridotrail/internal/knownred"
 )
 
 // served is a request that was admitted at some moment from sent to answered.
@@ -107,7 +105,6 @@
 
 // A site whose store is away goes on within its rates.
 func TestTheFleetServesOnWithoutAStore(t *testing.T) {
-	knownred.PassOver(t)
 	if testing.Short() {
 		t.Skip("runs for half a minute")
 	}
