--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -54,7 +54,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.roster.leader(boottime.Now())
+	return r.roster.leader(r.options.Clock())
 }
 
 // stepBehind takes the next changes from another host. It fails if that host does
@@ -85,12 +85,12 @@
 	wait := part(r.options.Delay, askWait)
 	ctx, cancel := context.WithTimeout(ctx, 2*wait)
 	defer cancel()
-	sent := boottime.Now()
+	sent := r.options.Clock()
 	changes, err := r.options.Source.Changes(ctx, peer, kvstore.Revision(r.applied.Load()), wait)
 	if err != nil {
 		return Changes{}, 0, err
 	}
-	if age := boottime.Now().Sub(sent.Add(-changes.ProofAge)); age > part(r.options.Delay, staleAfter) {
+	if age := r.options.Clock().Sub(sent.Add(-changes.ProofAge)); age > part(r.options.Delay, staleAfter) {
 		return Changes{}, 0, &StaleError{Age: age}
 	}
 	return changes, sent, nil
@@ -99,10 +99,10 @@
 // unfollow passes a host over and goes back to the store.
 func (r *Replica) unfollow(peer Peer, err error) {
 	r.mu.Lock()
-	r.roster.avoid(peer.Name, boottime.Now())
+	r.roster.avoid(peer.Name, r.options.Clock())
 	r.mu.Unlock()
 	r.following = ""
-	_ = level.Warn(r.options.Logger).Log("event", "host not followed", "peer", peer.Name, "applied", r.applied.Load(), "proof_age", boottime.Now().Sub(r.Proof()), "err", err)
+	_ = level.Warn(r.options.Logger).Log("event", "host not followed", "peer", peer.Name, "applied", r.applied.Load(), "proof_age", r.options.Clock().Sub(r.Proof()), "err", err)
 }
 
 func part(of time.Duration, share float64) time.Duration { return time.Duration(float64(of) * share) }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -41,6 +41,7 @@
 	ProofInterval time.Duration
 	// Batch is the pause between two watches, in which changes gather.
 	Batch time.Duration
+	Clock boottime.Clock // nil: boottime.Now
 	// Source reaches other replicas; nil follows the store only.
 	Source Source
 	// Delay is the time within which a change of the store must be known here. It
@@ -88,6 +89,9 @@
 
 // New returns a replica that has seen nothing.
 func New(options Options) *Replica {
+	if options.Clock == nil {
+		options.Clock = boottime.Now
+	}
 	return &Replica{options: options, wake: make(chan struct{}), hurry: make(chan struct{}, 1), rouse: make(chan struct{}, 1)}
 }
 
@@ -149,7 +153,7 @@
 	watch, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	r.setCancel(cancel)
 	defer cancel()
-	sent := boottime.Now()
+	sent := r.options.Clock()
 	entries, at, err := r.options.Feed.Watch(watch, "", kvstore.Revision(r.applied.Load()), watchWait)
 	if err != nil {
 		restarted := errors.Is(watch.Err(), context.Canceled) // says nothing of the store
@@ -178,7 +182,7 @@
 func (r *Replica) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sent := boottime.Now()
+	sent := r.options.Clock()
 	entries, at, err := r.options.Feed.Snapshot(ctx, "")
 	if err != nil {
 		return err
@@ -209,7 +213,7 @@
 func (r *Replica) prove(ctx context.Context) {
 	for ctx.Err() == nil {
 		due := r.Proof().Add(r.proofInterval())
-		if wait := due.Sub(boottime.Now()); wait > 0 && r.applied.Load() != 0 {
+		if wait := due.Sub(r.options.Clock()); wait > 0 && r.applied.Load() != 0 {
 			r.awaitProof(ctx, wait)
 			continue
 		}
@@ -232,7 +236,7 @@
 
 // proofInterval is shorter while other hosts rely on the proofs of this one.
 func (r *Replica) proofInterval() time.Duration {
-	if r.followed(boottime.Now()) {
+	if r.followed(r.options.Clock()) {
 		return min(r.options.ProofInterval, part(r.options.Delay, followedProof))
 	}
 	return r.options.ProofInterval
@@ -244,7 +248,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sent := boottime.Now()
+	sent := r.options.Clock()
 	at, err := r.options.Feed.Current(call)
 	if err != nil {
 		r.failed(err)
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -26,7 +26,7 @@
 // as the caller says. It fails with KindCompacted if its history begins later and
 // with KindUnavailable if nothing was loaded yet.
 func (r *Replica) Changes(ctx context.Context, after kvstore.Revision, wait time.Duration) (Changes, error) {
-	now := boottime.Now()
+	now := r.options.Clock()
 	first := !r.followed(now)
 	r.asked.Store(int64(now))
 	if first {
@@ -68,7 +68,7 @@
 	return Changes{
 		Entries:  entries,
 		At:       kvstore.Revision(r.applied.Load()),
-		ProofAge: boottime.Now().Sub(proof),
+		ProofAge: r.options.Clock().Sub(proof),
 		Outages:  r.outages.Load(),
 	}, nil
 }
