--- /dev/null
+++ b/internal/gateway/state_model_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"peridotrail/internal/boottime"
+	"peridotrail/internal/catalog"
+	"peridotrail/internal/kvstore"
+	"peridotrail/internal/routing"
+)
+
+// plainSchema reads the entries of the model: policies are versions, upstreams
+// name their service, and anything else is unusable.
+type plainSchema struct{}
+
+func (plainSchema) Classify(key string) (ItemKind, string) {
+	switch {
+	case key == "policy":
+		return ItemPolicy, ""
+	case strings.HasPrefix(key, "up/"):
+		return ItemUpstream, strings.TrimPrefix(key, "up/")
+	case strings.HasPrefix(key, "evacuated/"):
+		return ItemEvacuation, strings.TrimPrefix(key, "evacuated/")
+	}
+	return ItemOther, ""
+}
+
+func (plainSchema) Policy(value []byte) (routing.Document, error) {
+	var version uint64
+	if err := json.Unmarshal(value, &version); err != nil {
+		return routing.Document{}, err
+	}
+	return routing.Document{Version: routing.Version(version), Services: []routing.Service{{Name: "s"}}}, nil
+}
+
+func (plainSchema) Upstream(id string, value []byte, _ boottime.Instant) (catalog.Upstream, error) {
+	if string(value) == "broken" {
+		return catalog.Upstream{}, errors.New("broken")
+	}
+	return catalog.Upstream{ID: id, Service: "s", Address: "127.0.0.1:1", FailureDomain: "w1", Slots: 1, Draining: string(value) == "draining"}, nil
+}
+
+// believed is what the oracle expects: the newest usable policy that was ever
+// told, and the upstreams whose last entry is usable.
+type believed struct {
+	version   routing.Version
+	upstreams map[string]bool // whether it drains
+	evacuated map[string]bool
+}
+
+func (b *believed) take(e kvstore.Entry) {
+	kind, id := plainSchema{}.Classify(e.Key)
+	switch kind {
+	case ItemPolicy:
+		if document, err := (plainSchema{}).Policy(e.Value); err == nil && e.Exists() {
+			b.version = max(b.version, document.Version)
+		}
+	case ItemUpstream:
+		delete(b.upstreams, id)
+		if e.Exists() && string(e.Value) != "broken" {
+			b.upstreams[id] = string(e.Value) == "draining"
+		}
+	case ItemEvacuation:
+		delete(b.evacuated, id)
+		if e.Exists() {
+			b.evacuated[id] = true
+		}
+	}
+}
+
+func drawEntry(t *rapid.T, revision kvstore.Revision) kvstore.Entry {
+	e := kvstore.Entry{Key: rapid.SampledFrom([]string{"policy", "up/1", "up/2", "evacuated/w1", "hosts/h/1", "other"}).Draw(t, "key")}
+	if e.Key != "policy" && rapid.IntRange(0, 3).Draw(t, "deleted") == 0 {
+		return e
+	}
+	e.Revision = revision
+	switch e.Key {
+	case "policy":
+		e.Value = []byte(rapid.SampledFrom([]string{"1", "2", "3", "5", "8", "13", "{", `"x"`, ""}).Draw(t, "policy"))
+	case "hosts/h/1":
+		e.Value = []byte(rapid.SampledFrom([]string{`{"name":"h","entry":"127.0.0.1:2"}`, `{`, `[]`, `{"name":7}`}).Draw(t, "host"))
+	default:
+		e.Value = []byte(rapid.SampledFrom([]string{"ready", "draining", "broken"}).Draw(t, "value"))
+	}
+	return e
+}
+
+// Whatever comes, twice, unusable, or in any order: the newest policy stays in
+// force, good entries are never lost to bad ones, and removed ones are gone.
+func TestBeliefModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		live := newLiveSettings(Settings{Host: "h", FailureDomain: "w1", Region: "west", Regions: map[string]string{"w1": "west"}, RepeatWindow: time.Second})
+		s := newState(live, plainSchema{}, log.NewNopLogger(), newLimits(live, log.NewNopLogger()))
+		s.onUpstreams = func([]catalog.Upstream) {}
+		expected := believed{upstreams: map[string]bool{}, evacuated: map[string]bool{}}
+		store := map[string]kvstore.Entry{}
+		last := routing.Version(0)
+		for n := range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			var batch []kvstore.Entry
+			for range rapid.IntRange(0, 3).Draw(rt, "entries") {
+				e := drawEntry(rt, kvstore.Revision(n+1))
+				batch = append(batch, e)
+				delete(store, e.Key)
+				if e.Exists() {
+					store[e.Key] = e
+				}
+			}
+			if rapid.IntRange(0, 5).Draw(rt, "again") == 0 {
+				s.Reset(all(store), false) // history was lost, and the batch with it
+				expected.upstreams, expected.evacuated = map[string]bool{}, map[string]bool{}
+				batch = all(store)
+			} else {
+				s.Apply(batch)
+			}
+			for _, e := range batch {
+				expected.take(e)
+			}
+			compareBelief(rt, s, expected, &last)
+		}
+	})
+}
+
+func all(store map[string]kvstore.Entry) []kvstore.Entry {
+	var entries []kvstore.Entry
+	for _, e := range store {
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+func compareBelief(t *rapid.T, s *state, expected believed, last *routing.Version) {
+	version := routing.Version(0)
+	if table := s.table.Load(); table != nil {
+		version = table.Version()
+	}
+	require.GreaterOrEqual(t, version, *last, "a policy went back")
+	*last = version
+	require.Equal(t, expected.version, version)
+	got := map[string]bool{}
+	for _, u := range s.upstreams.All() {
+		got[u.ID] = u.Draining
+	}
+	require.Equal(t, expected.upstreams, got)
+	require.Equal(t, expected.evacuated, s.evacuated)
+	names := slices.Collect(func(yield func(string) bool) {
+		for _, h := range *s.hosts.Load() {
+			if !yield(h.Name) {
+				return
+			}
+		}
+	})
+	require.Subset(t, []string{"h"}, append(names, "h"), fmt.Sprint(names))
+}
--- a/internal/quota/main_test.go
+++ b/internal/quota/main_test.go
@@ -1,16 +1,9 @@
 package quota
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"peridotrail/internal/seeded"
 )
 
-// TestMain fixes the seed of the random tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
--- /dev/null
+++ b/internal/replica/main_test.go
@@ -0,0 +1,9 @@
+package replica
+
+import (
+	"testing"
+
+	"peridotrail/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
