--- a/cmd/peridotraild/gateway.go
+++ b/cmd/peridotraild/gateway.go
@@ -41,15 +41,19 @@
 		}, &cli.Uint16Flag{
 			Name:  "metrics-port",
 			Usage: "`PORT` of /metrics on the host's address; 0 serves none",
+		}, &cli.StringFlag{
+			Name:  "log-level",
+			Value: "info",
+			Usage: "lowest `LEVEL` of the lines that are written: debug, info, warn or error",
 		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return runGateway(ctx, c.String("settings"), c.Uint16("metrics-port"))
+			return runGateway(ctx, c.String("settings"), c.String("log-level"), c.Uint16("metrics-port"))
 		},
 	}
 }
 
 // runGateway serves until ctx ends and reloads the settings file when it changes.
-func runGateway(ctx context.Context, path string, metricsPort uint16) error {
+func runGateway(ctx context.Context, path, logLevel string, metricsPort uint16) error {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP) // first, since the signal ends a process that does not expect it
 	defer signal.Stop(hangup)
@@ -65,7 +69,7 @@
 	registry := observe.NewRegistry()
 	lines := observe.NewBoundedWriter(os.Stdout, registry)
 	defer lines.Close(lastLinesWait)
-	logger := log.With(observe.NewLogger(lines, "info"), "host", settings.Host)
+	logger := log.With(observe.NewLogger(lines, logLevel), "host", settings.Host)
 	invariant.SetHandler(observe.ViolationHandler(logger, registry))
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(log.NewStdlibAdapter(log.With(logger, "event", "net/http")))
--- a/cmd/peridotraild/serve.go
+++ b/cmd/peridotraild/serve.go
@@ -17,6 +17,7 @@
 	"peridotrail/internal/kvstore/httpstore"
 	"peridotrail/internal/observe"
 	"peridotrail/internal/settings"
+	"peridotrail/platform"
 )
 
 const reloadPeriod = 30 * time.Second
@@ -47,11 +48,19 @@
 
 func checkCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "check",
-		Usage: "check a settings file and exit",
-		Flags: []cli.Flag{settingsFlag()},
+		Name:      "check",
+		Usage:     "check a settings file and exit",
+		ArgsUsage: "[FILE]",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, if it is not an argument", Sources: cli.EnvVars("PERIDOTRAIL_SETTINGS")},
+			&cli.BoolFlag{Name: "platform", Usage: "the file has the platform's format"},
+		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			if _, err := settings.Load(c.String("settings")); err != nil {
+			path := c.Args().First()
+			if path == "" {
+				path = c.String("settings")
+			}
+			if err := checkFile(path, c.Bool("platform")); err != nil {
 				return err
 			}
 			fmt.Println("settings are valid")
@@ -60,6 +69,17 @@
 	}
 }
 
+// checkFile reads a file as a host would at its start or its reload.
+func checkFile(path string, ofPlatform bool) error {
+	var err error
+	if ofPlatform {
+		_, _, err = platform.LoadSettings(path)
+	} else {
+		_, err = settings.Load(path)
+	}
+	return err
+}
+
 // serve runs one host until ctx ends or a duty fails.
 func serve(ctx context.Context, s settings.Settings) error {
 	logger := observe.NewLogger(os.Stderr, s.Log.Level)
@@ -96,7 +116,8 @@
 
 func exitCode(err error) int {
 	var invalid *configuration.InvalidError
-	if errors.As(err, &invalid) {
+	var ofPlatform *platform.SettingsError
+	if errors.As(err, &invalid) || errors.As(err, &ofPlatform) {
 		return exitSettings
 	}
 	return exitFailed
