Divide the rates of small accounts among few hosts

Cause: each host held an equal part of each account's rate.

Change: quota.Division divides a rate among as many hosts as it has parts of four requests a second, at least one in each region, chosen by hash; the other hosts ask those, the ones of their failure domain first. The reserve of a lender is counted in whole tokens. A host asks after it has let go of its lock.

--- a/internal/gateway/decide_test.go
+++ b/internal/gateway/decide_test.go
@@ -38,25 +38,6 @@
 	return hosts
 }
 
-// The shares of all hosts that know the same hosts add up to the whole.
-func TestSharesAddUp(t *testing.T) {
-	for _, places := range [][]string{{"w1"}, {"w1", "w1", "w2"}, {"w1", "w2", "e1", "e1", "e1"}} {
-		hosts := hostsOf(places...)
-		sum := 0.0
-		for _, host := range hosts {
-			sum += shareOf(hosts, Settings{Host: host.Name, FailureDomain: host.FailureDomain})
-		}
-		require.InDelta(t, 1, sum, 1e-9, "%v", places)
-	}
-}
-
-// A host that does not see itself yet takes the part of one more host.
-func TestShareOfAHostThatIsNotRegistered(t *testing.T) {
-	require.InDelta(t, 1.0/3, shareOf(hostsOf("w1", "w1"), Settings{Host: "new", FailureDomain: "w1"}), 1e-9)
-	require.InDelta(t, 1.0/2, shareOf(hostsOf("w1", "w1"), Settings{Host: "new", FailureDomain: "w2"}), 1e-9)
-	require.InDelta(t, 1, shareOf(nil, Settings{Host: "new", FailureDomain: "w1"}), 1e-9)
-}
-
 func TestNearestHosts(t *testing.T) {
 	all := hostsOf("w1", "w2", "e1", "w1")
 	cases := []struct {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/boottime"
+	"peridotrail/internal/catalog"
 	"peridotrail/internal/lending"
 	"peridotrail/internal/quota"
 	"peridotrail/internal/routing"
@@ -22,26 +25,31 @@
 	logger   log.Logger
 
 	mu      sync.Mutex // guards the fields below
-	hosts   int
-	share   float64
+	table   *routing.Table
+	hosts   []catalog.Host
 	buckets map[uint64]*rateBucket         // by the hash of the client account
 	repeats map[string]*quota.RepeatBudget // by service
-	ask     func(account uint64, want float64) bool
+	ask     askFunc
 }
 
+// askFunc asks hosts for tokens of an account. It reports whether an answer is
+// expected.
+type askFunc func(account uint64, want float64, near, far []netip.AddrPort) bool
+
 // rateBucket is a bucket with the requests that wait for borrowed tokens.
 type rateBucket struct {
 	quota.Bucket
-	whole   float64       // requests a second over all hosts
-	arrived chan struct{} // closed and replaced when an answer comes
+	whole     float64          // requests a second over all hosts
+	near, far []netip.AddrPort // hosts that may lend
+	arrived   chan struct{}    // closed and replaced when an answer comes
 }
 
 func newLimits(settings *liveSettings, logger log.Logger) *limits {
 	return &limits{
-		settings: settings, logger: logger, hosts: 1,
+		settings: settings, logger: logger,
 		buckets: map[uint64]*rateBucket{},
 		repeats: map[string]*quota.RepeatBudget{},
-		ask:     func(uint64, float64) bool { return false },
+		ask:     func(uint64, float64, []netip.AddrPort, []netip.AddrPort) bool { return false },
 	}
 }
 
@@ -54,44 +62,62 @@
 
 func accountHash(name string) uint64 { return xxhash.Sum64String(name) }
 
-// update divides the limits of a policy anew.
-func (l *limits) update(table *routing.Table, share float64, hosts int, now boottime.Instant) {
+// leastBurst is the smallest burst of a part: with a single token, a host that has
+// one refuses the second of two requests that come together.
+const leastBurst = 2
+
+// update divides the limits of a policy among hosts, if either has changed.
+func (l *limits) update(table *routing.Table, hosts []catalog.Host, now boottime.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.share, l.hosts = share, max(hosts, 1)
-	if table == nil {
+	same := l.table == table && slices.Equal(l.hosts, hosts)
+	l.table, l.hosts = table, hosts
+	for _, budget := range l.repeats {
+		budget.Slack = l.repeatSlack()
+	}
+	if table == nil || same {
 		return
 	}
+	division := divisionOf(hosts, *l.settings.get())
 	present := make(map[uint64]bool, len(l.buckets))
 	for _, account := range table.Accounts() {
-		if account.Rate <= 0 {
-			continue
-		}
-		hash := accountHash(account.Name)
-		present[hash] = true
-		bucket := l.buckets[hash]
-		if bucket == nil {
-			bucket = &rateBucket{arrived: make(chan struct{})}
-			l.buckets[hash] = bucket
+		if account.Rate > 0 {
+			hash := accountHash(account.Name)
+			present[hash] = true
+			l.divide(hash, account, division, now)
 		}
-		if account.Rate != bucket.whole {
-			_ = level.Info(l.logger).Log("event", "account rate", "account", account.Name, "rate", account.Rate, "burst", account.Burst, "before", bucket.whole, "share", share, "version", table.Version())
-			bucket.whole = account.Rate
-		}
-		bucket.SetLimit(account.Rate*share, max(account.Burst*share, 1), now)
 	}
 	for hash := range l.buckets {
 		if !present[hash] {
 			delete(l.buckets, hash)
 		}
 	}
-	for _, budget := range l.repeats {
-		budget.Slack = l.repeatSlack()
+}
+
+// divide sets this host's part of one account. The caller holds mu.
+func (l *limits) divide(hash uint64, account routing.Account, division *quota.Division, now boottime.Instant) {
+	bucket := l.buckets[hash]
+	if bucket == nil {
+		bucket = &rateBucket{arrived: make(chan struct{})}
+		l.buckets[hash] = bucket
+	}
+	part := division.Part(hash, account.Rate)
+	if account.Rate != bucket.whole {
+		_ = level.Info(l.logger).Log("event", "account rate", "account", account.Name, "rate", account.Rate, "burst", account.Burst,
+			"before", bucket.whole, "share", part, "version", l.table.Version())
+	}
+	bucket.whole = account.Rate
+	bucket.near, bucket.far = division.Lenders(hash, account.Rate)
+	bucket.SetPool(account.Rate * division.Pool(hash, account.Rate))
+	if part > 0 {
+		bucket.SetLimit(account.Rate*part, max(account.Burst*part, leastBurst), now)
+	} else {
+		bucket.SetLimit(0, 0, now)
 	}
 }
 
 func (l *limits) repeatSlack() float64 {
-	return l.settings.get().RepeatSlack * fairPart / float64(l.hosts)
+	return l.settings.get().RepeatSlack * fairPart / float64(max(len(l.hosts), 1))
 }
 
 // borrowWait is how long a request waits for borrowed tokens: a round trip to the
@@ -126,9 +152,9 @@
 // answer of another host comes, nil if none is expected.
 func (l *limits) tryRate(hash uint64, first bool) (bool, time.Duration, <-chan struct{}) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	bucket := l.buckets[hash]
 	if bucket == nil {
+		l.mu.Unlock()
 		return true, 0, nil
 	}
 	now := boottime.Now()
@@ -136,14 +162,13 @@
 		bucket.Demand(now)
 	}
 	ok, wait := bucket.Take(now)
-	expected := false
-	if want := bucket.Wanted(now); want > 0 {
-		expected = l.ask(hash, want)
-	}
+	want, arrived, near, far, ask := bucket.Wanted(now), bucket.arrived, bucket.near, bucket.far, l.ask
+	l.mu.Unlock()
+	expected := want > 0 && ask(hash, want, near, far)
 	if ok || !expected {
 		return ok, wait, nil
 	}
-	return false, wait, bucket.arrived
+	return false, wait, arrived
 }
 
 // rateOf returns a copy of an account's bucket for the log, empty if its rate is
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -45,7 +45,6 @@
 	g.limits.lendBy(exchange)
 	g.state.watchHosts(func(hosts []catalog.Host) {
 		settings := g.settings.get()
-		exchange.SetPeers(peersOf(hosts, *settings))
 		g.replica.SetPeers(settings.Host, neighboursOf(hosts, *settings))
 	})
 	background, stop := context.WithCancel(context.Background())
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -1,37 +1,30 @@
 package gateway
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
 
 	"peridotrail/internal/catalog"
+	"peridotrail/internal/quota"
 	"peridotrail/internal/replica"
 )
 
-// peersOf returns the addresses of the other hosts, nearest first.
-func peersOf(hosts []catalog.Host, settings Settings) []netip.AddrPort {
-	distance := func(h catalog.Host) int {
-		switch {
-		case h.FailureDomain == settings.FailureDomain:
-			return 0
-		case h.Region == settings.Region:
-			return 1
-		default:
-			return 2
-		}
+// divisionOf divides the rates of accounts among hosts.
+func divisionOf(hosts []catalog.Host, settings Settings) *quota.Division {
+	holders := make([]quota.Holder, 0, len(hosts))
+	for _, host := range hosts {
+		holders = append(holders, holderOf(host))
 	}
-	ordered := slices.Clone(hosts)
-	slices.SortStableFunc(ordered, func(a, b catalog.Host) int { return cmp.Compare(distance(a), distance(b)) })
-	var peers []netip.AddrPort
-	for _, host := range ordered {
-		address, err := netip.ParseAddrPort(host.Peer)
-		if err != nil || host.Name == settings.Host {
-			continue // a host of another version may not lend
-		}
-		peers = append(peers, address)
+	return quota.NewDivision(quota.Holder{Name: settings.Host, FailureDomain: settings.FailureDomain, Region: settings.Region}, holders)
+}
+
+// holderOf leaves the address empty if the host can't be asked: one of another
+// version may not lend.
+func holderOf(host catalog.Host) quota.Holder {
+	h := quota.Holder{Name: host.Name, FailureDomain: host.FailureDomain, Region: host.Region}
+	if address, err := netip.ParseAddrPort(host.Peer); err == nil {
+		h.Address = address
 	}
-	return peers
+	return h
 }
 
 // neighboursOf returns the other hosts of this host's failure domain.
@@ -69,19 +62,3 @@
 	}
 	return clone
 }
-
-// shareOf is this host's part of the limits of client accounts: every failure
-// domain has the same part, divided among its hosts.
-func shareOf(hosts []catalog.Host, settings Settings) float64 {
-	domains := map[string]int{settings.FailureDomain: 0}
-	known := false
-	for _, host := range hosts {
-		domains[host.FailureDomain]++
-		known = known || host.Name == settings.Host
-	}
-	own := domains[settings.FailureDomain]
-	if !known {
-		own++
-	}
-	return 1 / float64(len(domains)*own)
-}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -249,7 +249,7 @@
 	hosts := distinct(s.members.All())
 	s.hosts.Store(&hosts)
 	s.onHosts(hosts)
-	s.limits.update(s.table.Load(), shareOf(hosts, *s.settings.get()), len(hosts), boottime.Now())
+	s.limits.update(s.table.Load(), hosts, boottime.Now())
 }
 
 // watchHosts sets the receiver of the hosts that are known.
--- a/internal/lending/lending.go
+++ b/internal/lending/lending.go
@@ -73,8 +73,7 @@
 	logger log.Logger
 	clock  boottime.Clock
 
-	mu     sync.Mutex       // guards the fields below
-	peers  []netip.AddrPort // nearest first
+	mu     sync.Mutex // guards the fields below
 	number uint32
 	open   map[uint32]question
 	empty  map[peerAccount]boottime.Instant // when a host last had none
@@ -98,17 +97,11 @@
 	}, nil
 }
 
-// SetPeers replaces the other hosts, nearest first.
-func (e *Exchange) SetPeers(peers []netip.AddrPort) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.peers = peers
-}
-
-// Ask asks a few hosts for tokens and reports whether an answer may come.
-func (e *Exchange) Ask(account uint64, want float64) bool {
+// Ask asks a few hosts for tokens, near ones first, and reports whether an answer
+// may come.
+func (e *Exchange) Ask(account uint64, want float64, near, far []netip.AddrPort) bool {
 	now := e.clock()
-	targets, waiting := e.choose(account, now)
+	targets, waiting := e.choose(account, near, far, now)
 	for _, number := range targets {
 		e.mu.Lock()
 		peer := e.open[number].peer
@@ -120,7 +113,7 @@
 
 // choose opens questions to hosts that may have tokens. It returns their numbers,
 // and whether any question about the account is open.
-func (e *Exchange) choose(account uint64, now boottime.Instant) (numbers []uint32, waiting bool) {
+func (e *Exchange) choose(account uint64, near, far []netip.AddrPort, now boottime.Instant) (numbers []uint32, waiting bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for number, q := range e.open {
@@ -133,9 +126,9 @@
 	if waiting {
 		return nil, true
 	}
-	for range e.peers {
-		e.next++
-		peer := e.peers[e.next%len(e.peers)]
+	e.next++
+	for i := range len(near) + len(far) {
+		peer := pick(near, far, i, e.next)
 		if since, ok := e.empty[peerAccount{peer, account}]; ok && now.Sub(since) < emptyPause {
 			continue
 		}
@@ -149,6 +142,15 @@
 	return numbers, len(numbers) > 0
 }
 
+// pick returns the i-th host to ask: the near ones in turn, then the far ones in
+// turn, so that questions spread.
+func pick(near, far []netip.AddrPort, i, turn int) netip.AddrPort {
+	if i < len(near) {
+		return near[(turn+i)%len(near)]
+	}
+	return far[(turn+i)%len(far)]
+}
+
 func (e *Exchange) send(peer netip.AddrPort, m message) {
 	data, err := cbor.Marshal(m)
 	if err != nil {
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -57,8 +57,7 @@
 func TestTokensMoveOnce(t *testing.T) {
 	_, lender, address := open(t, 10)
 	borrower, purse, _ := open(t, 0)
-	borrower.SetPeers([]netip.AddrPort{address})
-	require.True(t, borrower.Ask(1, 7))
+	require.True(t, borrower.Ask(1, 7, []netip.AddrPort{address}, nil))
 	require.Eventually(t, func() bool { _, gained, _ := purse.state(); return gained == 7 }, time.Second, time.Millisecond)
 	left, _, _ := lender.state()
 	require.InDelta(t, 3, left, 0)
@@ -67,11 +66,10 @@
 func TestHostWithoutTokensIsNotAskedAgainAtOnce(t *testing.T) {
 	_, _, address := open(t, 0)
 	borrower, purse, _ := open(t, 0)
-	borrower.SetPeers([]netip.AddrPort{address})
-	require.True(t, borrower.Ask(1, 7))
+	require.True(t, borrower.Ask(1, 7, []netip.AddrPort{address}, nil))
 	require.Eventually(t, func() bool { _, _, answers := purse.state(); return answers == 1 }, time.Second, time.Millisecond)
-	require.False(t, borrower.Ask(1, 7))
-	require.True(t, borrower.Ask(2, 7), "another account may have tokens")
+	require.False(t, borrower.Ask(1, 7, []netip.AddrPort{address}, nil))
+	require.True(t, borrower.Ask(2, 7, []netip.AddrPort{address}, nil), "another account may have tokens")
 }
 
 func TestUnaskedAndRepeatedAnswersAddNothing(t *testing.T) {
@@ -103,9 +101,21 @@
 	require.NoError(t, err)
 	_, err = borrower.conn.WriteToUDPAddrPort(strange, address)
 	require.NoError(t, err)
-	borrower.SetPeers([]netip.AddrPort{address})
-	require.True(t, borrower.Ask(1, 4))
+	require.True(t, borrower.Ask(1, 4, []netip.AddrPort{address}, nil))
 	require.Eventually(t, func() bool { _, gained, _ := purse.state(); return gained == 4 }, time.Second, time.Millisecond)
 	left, _, _ := lender.state()
 	require.InDelta(t, 6, left, 0)
 }
+
+func TestNearHostsAreAskedFirst(t *testing.T) {
+	host := func(n byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, n}), 1) }
+	near, far := []netip.AddrPort{host(1), host(2)}, []netip.AddrPort{host(3), host(4), host(5)}
+	for turn := range 7 {
+		var order []netip.AddrPort
+		for i := range 5 {
+			order = append(order, pick(near, far, i, turn))
+		}
+		require.ElementsMatch(t, near, order[:2], "turn %d", turn)
+		require.ElementsMatch(t, far, order[2:], "turn %d", turn)
+	}
+}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -42,6 +42,7 @@
 	borrowedUntil boottime.Instant
 
 	demand float64 // requests a second, averaged
+	pool   float64 // rate of the region, tokens a second
 }
 
 // SetLimit changes the host's part. A new bucket starts empty: an earlier process
@@ -56,6 +57,10 @@
 	b.tokens = min(b.tokens, burst)
 }
 
+// SetPool tells the rate that all hosts of the region have together. A host without
+// a part advises callers by it.
+func (b *Bucket) SetPool(rate float64) { b.pool = rate }
+
 // Demand counts a request that wants a token.
 func (b *Bucket) Demand(now boottime.Instant) {
 	b.refill(now)
@@ -75,10 +80,14 @@
 		b.tokens--
 		return true, 0
 	}
-	if b.rate <= 0 {
+	rate := b.rate
+	if rate <= 0 {
+		rate = b.pool
+	}
+	if rate <= 0 {
 		return false, time.Second
 	}
-	turn := (1 - b.tokens) / b.rate * max(1, b.demand/b.rate)
+	turn := (1 - b.tokens) / rate * max(1, b.demand/rate)
 	return false, max(leastReturn, time.Duration(turn*float64(time.Second)))
 }
 
@@ -108,8 +117,9 @@
 // Lend deducts up to want whole tokens that this host does not need itself.
 func (b *Bucket) Lend(want float64, now boottime.Instant) float64 {
 	b.refill(now)
-	spare := b.tokens - max(0, b.demand-b.rate)*reserveSpan.Seconds() - min(b.demand*reserveSpan.Seconds(), b.tokens/2)
-	granted := math.Floor(min(want, spare))
+	excess := max(0, b.demand-b.rate) * reserveSpan.Seconds()
+	reserve := math.Floor(excess + min(b.demand*reserveSpan.Seconds(), b.tokens/2))
+	granted := math.Floor(min(want, b.tokens-reserve))
 	if granted < 1 {
 		return 0
 	}
