Say what decided a refusal: queues looked at, rate and tokens, vanished upstreams

RefusedError says at how many upstreams there was no place and the shortest wait; explain names rate, share, tokens and demand, what was expected of the last upstream, and that its entry vanished meanwhile.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -128,9 +128,27 @@
 			text += fmt.Sprintf("; an attempt at upstream %v failed: %v", line.Fields["upstream"], line.Fields["err"])
 		}
 	}
+	switch {
+	case last.Fields["rate"] != nil:
+		text += fmt.Sprintf(": of its %v requests a second this host has %v, %v tokens were left and %v were asked for a second",
+			last.Fields["rate"], last.Fields["share"], last.Fields["tokens"], last.Fields["demand"])
+	case last.Fields["wait_ms"] != nil:
+		text += fmt.Sprintf("; upstream %v was asked last, %v ms until a slot and %v ms of work were expected", last.Fields["upstream"], last.Fields["wait_ms"], last.Fields["work_ms"])
+		text += after(r, last)
+	}
 	return text
 }
 
+// after tells what the host learned of the asked upstream before the end.
+func after(r *Report, last Line) string {
+	for _, line := range r.Beliefs {
+		if line.Event == "upstream gone" && line.Fields["upstream"] == last.Fields["upstream"] {
+			return fmt.Sprintf("; the upstream's entry vanished %d ms before the end", last.Time.Sub(line.Time).Milliseconds())
+		}
+	}
+	return ""
+}
+
 // answeredCause says what made an answer late or a failure.
 func answeredCause(last Line, status string) string {
 	text := fmt.Sprintf("status %s from upstream %v after %v ms", status, last.Fields["upstream"], last.Fields["took_ms"])
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -47,3 +47,28 @@
 	var missing *NotFoundError
 	require.True(t, errors.As(err, &missing))
 }
+
+func TestCausesNameTheDecidingInputs(t *testing.T) {
+	tests := []struct{ name, log, cause string }{
+		{
+			"over the rate",
+			`{"event":"request refused","host":"h","request":"r","status":429,"detail":"client account a","rate":45,"share":3.75,"tokens":0.2,"demand":9.1}`,
+			"status 429: client account a: of its 45 requests a second this host has 3.75, 0.2 tokens were left and 9.1 were asked for a second",
+		},
+		{
+			"an upstream that vanished",
+			`{"event":"upstream gone","host":"h","upstream":"i-1","time":"2026-01-01T00:00:03Z"}
+{"event":"request refused","host":"h","request":"r","status":504,"detail":"no answer in time","upstream":"i-1","wait_ms":0,"work_ms":300,"time":"2026-01-01T00:00:03.5Z"}`,
+			"status 504: no answer in time; upstream i-1 was asked last, 0 ms until a slot and 300 ms of work were expected; the upstream's entry vanished 500 ms before the end",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			all, err := Read(strings.NewReader(test.log))
+			require.NoError(t, err)
+			report, err := Request("r", all)
+			require.NoError(t, err)
+			require.Equal(t, test.cause, report.Cause)
+		})
+	}
+}
--- a/internal/placement/errors.go
+++ b/internal/placement/errors.go
@@ -22,9 +22,15 @@
 	Service    string
 	Reason     Reason
 	RetryAfter time.Duration // when there may be room
+	Considered int           // upstreams that were valued and found full or too slow
+	LeastWait  time.Duration // for a slot, at the one of them with the shortest queue
 }
 
 // Error implements error.
 func (e *RefusedError) Error() string {
-	return fmt.Sprintf("service %s: no place (%s), retry after %s", e.Service, e.Reason, e.RetryAfter)
+	if e.Considered == 0 {
+		return fmt.Sprintf("service %s: no place (%s), retry after %s", e.Service, e.Reason, e.RetryAfter)
+	}
+	return fmt.Sprintf("service %s: no place (%s) at %d upstreams, the shortest wait for a slot is %s, retry after %s",
+		e.Service, e.Reason, e.Considered, e.LeastWait.Round(time.Millisecond), e.RetryAfter)
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -190,6 +190,7 @@
 		c := p.value(s, u, work, e, h, object, now)
 		if reason, after := hopeless(&c, work, now); reason != "" {
 			note(&refusal, reason, after)
+			refusal.full(fromMilliseconds(c.wait))
 			continue
 		}
 		if best.upstream == nil || c.credit > best.credit {
@@ -212,6 +213,14 @@
 	}
 }
 
+// full counts an upstream that was found full or too slow.
+func (r *RefusedError) full(wait time.Duration) {
+	if r.Considered == 0 || wait < r.LeastWait {
+		r.LeastWait = wait
+	}
+	r.Considered++
+}
+
 func (p *Pool) eligible(u *upstream, work *Work) bool {
 	return !u.Draining &&
 		!slices.Contains(work.Tried, u.ID) &&
