Wait for a token of this host that is due within the wait for others

Change: a request waits for its turn at its own bucket if that comes within the 60 ms, and is refused at once otherwise. TestRequestWaitsForATokenThatIsDueSoon failed before.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -120,55 +120,77 @@
 	return l.settings.get().RepeatSlack * fairPart / float64(max(len(l.hosts), 1))
 }
 
-// borrowWait is how long a request waits for borrowed tokens: a round trip to the
-// farthest region and some queueing.
+// borrowWait is how long a request waits for a token: a round trip to the farthest
+// region and some queueing.
 const borrowWait = 60 * time.Millisecond
 
+// leastAwait keeps requests that wait for the same token from turning in a circle.
+const leastAwait = time.Millisecond
+
 // takeRate spends one request of an account's rate. If this host has none left it
-// asks others and waits for their answer.
+// asks others, and waits for their answer or for a token of its own that is due
+// soon. A request whose turn comes later is refused at once.
 func (l *limits) takeRate(ctx context.Context, account string) (bool, time.Duration) {
 	hash := accountHash(account)
-	ok, wait, arrived := l.tryRate(hash, true)
-	if ok || arrived == nil {
-		return ok, wait
-	}
-	timer := time.NewTimer(borrowWait)
-	defer timer.Stop()
-	for {
-		select {
-		case <-arrived:
-		case <-timer.C:
-			return false, wait
-		case <-ctx.Done():
-			return false, wait
+	end := boottime.Now().Add(borrowWait)
+	for first := true; ; first = false {
+		t := l.tryRate(hash, first)
+		left := end.Sub(boottime.Now())
+		if t.due > 0 && t.due < left {
+			left = max(t.due, leastAwait)
+		} else if t.arrived == nil {
+			return t.ok, t.wait
 		}
-		if ok, wait, arrived = l.tryRate(hash, false); ok || arrived == nil {
-			return ok, wait
+		if t.ok || left <= 0 || !await(ctx, t.arrived, left) {
+			return t.ok, t.wait
 		}
 	}
 }
 
-// tryRate takes a token. Without one it returns a channel that is closed when an
-// answer of another host comes, nil if none is expected.
-func (l *limits) tryRate(hash uint64, first bool) (bool, time.Duration, <-chan struct{}) {
+// await waits for an answer or for a time. It returns false if ctx ended.
+func await(ctx context.Context, arrived <-chan struct{}, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-arrived:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// try is one attempt to spend a request of a rate.
+type try struct {
+	ok      bool
+	wait    time.Duration   // after which a caller may come back
+	due     time.Duration   // until this host's own token comes, zero: not known
+	arrived <-chan struct{} // closed when an answer of another host comes, nil: none is expected
+}
+
+// tryRate takes a token, or asks other hosts for some.
+func (l *limits) tryRate(hash uint64, first bool) try {
 	l.mu.Lock()
 	bucket := l.buckets[hash]
 	if bucket == nil {
 		l.mu.Unlock()
-		return true, 0, nil
+		return try{ok: true}
 	}
 	now := boottime.Now()
 	if first {
 		bucket.Demand(now)
 	}
-	ok, wait := bucket.Take(now)
+	var t try
+	t.ok, t.wait = bucket.Take(now)
+	if !t.ok {
+		t.due = bucket.Due(now)
+	}
 	want, arrived, near, far, ask := bucket.Wanted(now), bucket.arrived, bucket.near, bucket.far, l.ask
 	l.mu.Unlock()
-	expected := want > 0 && ask(hash, want, near, far)
-	if ok || !expected {
-		return ok, wait, nil
+	if want > 0 && ask(hash, want, near, far) && !t.ok {
+		t.arrived = arrived
 	}
-	return false, wait, arrived
+	return t
 }
 
 // rateOf returns a copy of an account's bucket for the log, empty if its rate is
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -80,15 +80,30 @@
 		b.tokens--
 		return true, 0
 	}
+	return false, max(leastReturn, b.turn())
+}
+
+// Due returns the time until the turn of one that asks now, by this host's own
+// tokens. It is zero if the host has no part.
+func (b *Bucket) Due(now boottime.Instant) time.Duration {
+	b.refill(now)
+	if b.rate <= 0 || b.burst < 1 {
+		return 0
+	}
+	return b.turn()
+}
+
+// turn is the time until one more token has accrued for each of those that ask. A
+// host without a part goes by the rate of its region.
+func (b *Bucket) turn() time.Duration {
 	rate := b.rate
 	if rate <= 0 {
 		rate = b.pool
 	}
 	if rate <= 0 {
-		return false, time.Second
+		return time.Second
 	}
-	turn := (1 - b.tokens) / rate * max(1, b.demand/rate)
-	return false, max(leastReturn, time.Duration(turn*float64(time.Second)))
+	return time.Duration((1 - b.tokens) / rate * max(1, b.demand/rate) * float64(time.Second))
 }
 
 // Rate returns this host's part of the rate, in tokens a second.
