--- a/internal/gateway/decide_test.go
+++ b/internal/gateway/decide_test.go
@@ -74,7 +74,7 @@
 			failures++
 		}
 	}
-	require.Equal(t, successLinesPerSecond, successes)
+	require.Equal(t, punctualLinesPerSecond, successes)
 	require.Equal(t, linesPerSecond, failures)
 	require.Equal(t, int64(20*linesPerSecond-successes-failures), b.leftOut.Load())
 }
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -83,7 +83,8 @@
 
 // log writes one line for the end of a request, with what decided it.
 func (x *exchange) log(event string, status int, detail string, took time.Duration, more ...any) {
-	if !x.gateway.lines.allow(status < http.StatusBadRequest) {
+	punctual := status < http.StatusBadRequest && x.route != nil && took <= x.route.LatencyObjective
+	if !x.gateway.lines.allow(punctual) {
 		return
 	}
 	line := []any{
