--- a/internal/lending/lending.go
+++ b/internal/lending/lending.go
@@ -6,17 +6,14 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/boottime"
+	"peridotrail/internal/datagram"
 )
 
 // Lender decides on the tokens of this host.
@@ -51,8 +48,6 @@
 	emptyPause = 700 * time.Millisecond
 	// asked is the number of hosts asked at once.
 	asked = 2
-	// datagramBytes bounds a message.
-	datagramBytes = 128
 )
 
 type question struct {
@@ -68,9 +63,8 @@
 
 // Exchange asks and answers. It is safe for concurrent use.
 type Exchange struct {
-	conn   *net.UDPConn
+	socket *datagram.Socket
 	lender Lender
-	logger log.Logger
 	clock  boottime.Clock
 
 	mu     sync.Mutex // guards the fields below
@@ -82,16 +76,12 @@
 
 // Listen opens the exchange on an IP:port.
 func Listen(address string, lender Lender, logger log.Logger, clock boottime.Clock) (*Exchange, error) {
-	local, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, err
-	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(local))
+	socket, err := datagram.Listen(address, logger)
 	if err != nil {
 		return nil, err
 	}
 	return &Exchange{
-		conn: conn, lender: lender, logger: logger, clock: clock,
+		socket: socket, lender: lender, clock: clock,
 		open:  map[uint32]question{},
 		empty: map[peerAccount]boottime.Instant{},
 	}, nil
@@ -106,7 +96,7 @@
 		e.mu.Lock()
 		peer := e.open[number].peer
 		e.mu.Unlock()
-		e.send(peer, message{Kind: kindAsk, Account: account, Number: number, Tokens: uint32(want)})
+		e.socket.Send(message{Kind: kindAsk, Account: account, Number: number, Tokens: uint32(want)}, peer)
 	}
 	return waiting
 }
@@ -151,44 +141,18 @@
 	return far[(turn+i)%len(far)]
 }
 
-func (e *Exchange) send(peer netip.AddrPort, m message) {
-	data, err := cbor.Marshal(m)
-	if err != nil {
-		_ = level.Error(e.logger).Log("event", "message not encoded", "err", err)
-		return
-	}
-	if _, err := e.conn.WriteToUDPAddrPort(data, peer); err != nil {
-		_ = level.Debug(e.logger).Log("event", "message not sent", "peer", peer, "err", err)
-	}
-}
-
 // Run answers and takes answers until ctx ends.
 func (e *Exchange) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = e.conn.Close() }) // ends the read below
+	stop := context.AfterFunc(ctx, func() { _ = e.socket.Close() }) // ends Receive
 	defer stop()
-	buffer := make([]byte, datagramBytes)
-	for {
-		n, from, err := e.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue // such as a refused datagram that the kernel reports here
-		}
-		var m message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
-			_ = level.Warn(e.logger).Log("event", "message not decoded", "peer", from, "err", err)
-			continue
-		}
-		e.handle(from, m)
-	}
+	datagram.Receive(e.socket, e.handle)
 }
 
 func (e *Exchange) handle(from netip.AddrPort, m message) {
 	switch m.Kind {
 	case kindAsk:
 		granted := e.lender.Lend(m.Account, float64(m.Tokens))
-		e.send(from, message{Kind: kindGrant, Account: m.Account, Number: m.Number, Tokens: uint32(granted)})
+		e.socket.Send(message{Kind: kindGrant, Account: m.Account, Number: m.Number, Tokens: uint32(granted)}, from)
 	case kindGrant:
 		if e.answered(from, m) {
 			e.lender.Receive(m.Account, float64(m.Tokens))
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"testing"
@@ -51,7 +52,7 @@
 	done := make(chan struct{})
 	go func() { e.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return e, p, netip.MustParseAddrPort(e.conn.LocalAddr().String())
+	return e, p, e.socket.Address()
 }
 
 func TestTokensMoveOnce(t *testing.T) {
@@ -76,13 +77,13 @@
 	forger, _, forgerAddress := open(t, 0)
 	borrower, purse, address := open(t, 0)
 	grant := message{Kind: kindGrant, Account: 1, Number: 1, Tokens: 50}
-	forger.send(address, grant)
+	forger.socket.Send(grant, address)
 	borrower.mu.Lock()
 	borrower.open[1] = question{peer: forgerAddress, account: 1, sent: boottime.Now()}
 	borrower.mu.Unlock()
-	forger.send(address, message{Kind: kindGrant, Account: 2, Number: 1, Tokens: 50})
-	forger.send(address, grant)
-	forger.send(address, grant)
+	forger.socket.Send(message{Kind: kindGrant, Account: 2, Number: 1, Tokens: 50}, address)
+	forger.socket.Send(grant, address)
+	forger.socket.Send(grant, address)
 	require.Eventually(t, func() bool { _, gained, _ := purse.state(); return gained == 50 }, time.Second, time.Millisecond)
 	time.Sleep(20 * time.Millisecond)
 	_, gained, answers := purse.state()
@@ -93,13 +94,16 @@
 func TestUnreadableDatagramsHarmNothing(t *testing.T) {
 	_, lender, address := open(t, 10)
 	borrower, purse, _ := open(t, 0)
+	raw, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(address))
+	require.NoError(t, err)
+	defer raw.Close()
 	for _, data := range [][]byte{nil, {0xff}, make([]byte, 500)} {
-		_, err := borrower.conn.WriteToUDPAddrPort(data, address)
+		_, err := raw.Write(data)
 		require.NoError(t, err)
 	}
 	strange, err := cbor.Marshal(message{Kind: 9})
 	require.NoError(t, err)
-	_, err = borrower.conn.WriteToUDPAddrPort(strange, address)
+	_, err = raw.Write(strange)
 	require.NoError(t, err)
 	require.True(t, borrower.Ask(1, 4, []netip.AddrPort{address}, nil))
 	require.Eventually(t, func() bool { _, gained, _ := purse.state(); return gained == 4 }, time.Second, time.Millisecond)
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -5,16 +5,14 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
+
+	"peridotrail/internal/datagram"
 )
 
 // Count is the number of requests that one host has at an upstream.
@@ -38,15 +36,12 @@
 	interval = 100 * time.Millisecond
 	// mostCounts keeps a message within one packet.
 	mostCounts = 150
-	// datagramBytes bounds a message.
-	datagramBytes = 1400
 )
 
 // Exchange sends and receives counts.
 type Exchange struct {
-	conn   *net.UDPConn
+	socket *datagram.Socket
 	pool   Pool
-	logger log.Logger
 
 	mu    sync.Mutex // guards peers
 	peers []netip.AddrPort
@@ -54,15 +49,11 @@
 
 // Listen opens the exchange on an IP:port.
 func Listen(address string, pool Pool, logger log.Logger) (*Exchange, error) {
-	local, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, err
-	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(local))
+	socket, err := datagram.Listen(address, logger)
 	if err != nil {
 		return nil, err
 	}
-	return &Exchange{conn: conn, pool: pool, logger: logger}, nil
+	return &Exchange{socket: socket, pool: pool}, nil
 }
 
 // SetPeers replaces the hosts that are told.
@@ -75,7 +66,7 @@
 // Run sends and receives until ctx ends, then closes the exchange.
 func (e *Exchange) Run(ctx context.Context) {
 	var wait sync.WaitGroup
-	wait.Go(e.receive)
+	wait.Go(func() { datagram.Receive(e.socket, e.take) })
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -85,7 +76,7 @@
 			e.tell()
 		}
 	}
-	_ = e.conn.Close() // ends receive
+	_ = e.socket.Close() // ends Receive
 	wait.Wait()
 }
 
@@ -102,36 +93,13 @@
 		slices.SortFunc(counts, func(a, b Count) int { return int(b.Requests) - int(a.Requests) })
 		counts = counts[:mostCounts]
 	}
-	data, err := cbor.Marshal(counts)
-	if err != nil {
-		_ = level.Error(e.logger).Log("event", "message not encoded", "err", err)
-		return
-	}
-	for _, peer := range peers {
-		if _, err := e.conn.WriteToUDPAddrPort(data, peer); err != nil {
-			_ = level.Debug(e.logger).Log("event", "message not sent", "peer", peer, "err", err)
-		}
-	}
+	e.socket.Send(counts, peers...)
 }
 
-func (e *Exchange) receive() {
-	buffer := make([]byte, datagramBytes)
-	for {
-		n, from, err := e.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue // such as a refused datagram that the kernel reports here
-		}
-		var counts []Count
-		if err := cbor.Unmarshal(buffer[:n], &counts); err != nil {
-			_ = level.Warn(e.logger).Log("event", "message not decoded", "peer", from, "err", err)
-			continue
-		}
-		if e.known(from) {
-			e.pool.Take(from, counts)
-		}
+// take hands on the counts of a peer. Others are not listened to.
+func (e *Exchange) take(from netip.AddrPort, counts []Count) {
+	if e.known(from) {
+		e.pool.Take(from, counts)
 	}
 }
 
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"testing"
@@ -53,7 +54,7 @@
 	done := make(chan struct{})
 	go func() { e.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return e, p, netip.MustParseAddrPort(e.conn.LocalAddr().String())
+	return e, p, e.socket.Address()
 }
 
 func TestCountsArrive(t *testing.T) {
@@ -77,8 +78,11 @@
 	_, friend, from := open(t)
 	friend.set([]Count{{Upstream: 8, Requests: 1}})
 	b.SetPeers([]netip.AddrPort{from})
+	raw, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(to))
+	require.NoError(t, err)
+	defer raw.Close()
 	for _, data := range [][]byte{nil, {0xff}, make([]byte, 3000)} {
-		_, err := a.conn.WriteToUDPAddrPort(data, to)
+		_, err := raw.Write(data)
 		require.NoError(t, err)
 	}
 	time.Sleep(3 * interval)
