Take no answer to a relayed request whose body broke off

Cause: a sender whose body breaks off cancels first its writing, then its reading.

TestAnswerToACutRequestIsAFailure forces that order and failed before; now the break, which is noted before the cut is sent, decides.

--- a/internal/fleet/relay/client.go
+++ b/internal/fleet/relay/client.go
@@ -58,6 +58,9 @@
 	x.release = context.AfterFunc(ctx, x.abort)
 	go x.upload(frame, head.ContentLength)
 	response, err := x.receive()
+	if cause := x.broken.Load(); err == nil && cause != nil {
+		err = *cause // the answer is to a request that was cut
+	}
 	if err != nil {
 		x.end()
 		return nil, x.failure(err)
