gateway: log requests to cold upstreams with the inputs of the share

The existing lines can't say which host sent them or why: lines of answered requests are sampled, and none holds the share or the number of hosts that it was derived from.

Each request placed at a cold upstream now logs the host's requests to it within the last second, its share, and the numbers of hosts known in all and in the region. The line of an upstream's entry says how long it stays cold. Counters placement.cold and placement.warm.

No decision changes.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -131,3 +131,16 @@
 	_ = level.Info(x.gateway.logger).Log("event", "attempt failed", "request", x.call.ID, "upstream", placed.Upstream.ID,
 		"wait_ms", inputs.Wait.Milliseconds(), "work_ms", inputs.ServiceTime.Milliseconds(), "err", err)
 }
+
+// logColdRequest writes one line about a request that is sent to a cold upstream,
+// with the inputs of this host's share of the upstream's rate.
+func (x *exchange) logColdRequest(placed *placement.Placement) {
+	if !x.gateway.logLimiter.allow(false) {
+		return
+	}
+	inputs := placed.Inputs()
+	hosts, regionHosts := x.gateway.state.hostCounts()
+	_ = level.Info(x.gateway.logger).Log("event", "cold request", "request", x.call.ID, "upstream", placed.Upstream.ID, "service", x.service,
+		"domain", placed.Upstream.FailureDomain, "cold_ms", inputs.ColdRemaining.Milliseconds(), "sent", inputs.RecentSends,
+		"share", roundToHundredths(x.gateway.state.coldRateLimit(x.service)), "hosts", hosts, "region_hosts", regionHosts)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -238,6 +238,10 @@
 	}
 	x.attempts++
 	x.lastPlacement = &placed
+	x.gateway.metrics.countPlacement(placed.Inputs().Cold)
+	if placed.Inputs().Cold {
+		x.logColdRequest(&placed)
+	}
 	x.triedUpstreams = append(x.triedUpstreams, placed.Upstream.ID)
 	return x.lastPlacement, nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,15 @@
 	metrics.GetOrRegisterCounter("attempt.result."+result, m.registry).Inc(1)
 }
 
+// countPlacement counts a request that was placed at an upstream, cold or warm.
+func (m *requestMetrics) countPlacement(cold bool) {
+	temperature := "warm"
+	if cold {
+		temperature = "cold"
+	}
+	metrics.GetOrRegisterCounter("placement."+temperature, m.registry).Inc(1)
+}
+
 // countPanic counts a request whose handler panicked.
 func (m *requestMetrics) countPanic() {
 	metrics.GetOrRegisterCounter("request.panics", m.registry).Inc(1)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -84,13 +84,19 @@
 	if serviceConfig == nil || serviceConfig.ColdRate <= 0 {
 		return 0
 	}
-	regionHosts := 0
-	for _, host := range *s.hosts.Load() {
+	_, regionHosts := s.hostCounts()
+	return (serviceConfig.ColdRate*s.settings.get().ColdExcess + s.settings.get().ColdSlack) * sharedLimitFraction / float64(max(regionHosts, 1))
+}
+
+// hostCounts returns how many hosts this host knows, in all and in its region.
+func (s *state) hostCounts() (all, region int) {
+	hosts := *s.hosts.Load()
+	for _, host := range hosts {
 		if host.Region == s.settings.get().Region {
-			regionHosts++
+			region++
 		}
 	}
-	return (serviceConfig.ColdRate*s.settings.get().ColdExcess + s.settings.get().ColdSlack) * sharedLimitFraction / float64(max(regionHosts, 1))
+	return len(hosts), region
 }
 
 // coldStart returns how long an upstream of a service is cold after its start.
@@ -229,7 +235,8 @@
 		return
 	}
 	s.upstreams.Put(id, upstream)
-	_ = level.Info(s.logger).Log("event", "upstream", "upstream", id, "service", upstream.Service, "domain", upstream.FailureDomain, "draining", upstream.Draining, "revision", entry.Revision)
+	_ = level.Info(s.logger).Log("event", "upstream", "upstream", id, "service", upstream.Service, "domain", upstream.FailureDomain, "draining", upstream.Draining,
+		"cold_ms", max(0, upstream.ColdUntil.Sub(now)).Milliseconds(), "revision", entry.Revision)
 }
 
 // applyHost adds, replaces or removes a host. An entry that can't be decoded is
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -19,6 +19,7 @@
 	request Request
 	start   boottime.Instant
 	cold    bool
+	sends   int // see Inputs.RecentSends
 	load    float64
 	loadAge time.Duration
 }
@@ -30,6 +31,8 @@
 	HitProbability float64       // probability that the upstream has the object cached
 	Preferred      bool          // the upstream is a preferred upstream of the object
 	Cold           bool          // the upstream is in its cold start
+	ColdRemaining  time.Duration // until the cold start ends
+	RecentSends    int           // requests that this host sent to the upstream within one second, this one included
 	Load           float64       // estimated number of requests at the upstream
 	LoadAge        time.Duration // time since the upstream last reported its load
 }
@@ -39,6 +42,7 @@
 	return Inputs{
 		Wait: fromMilliseconds(p.chosen.wait), ServiceTime: fromMilliseconds(p.chosen.serviceTime()),
 		HitProbability: p.chosen.hitProb, Preferred: p.chosen.preference != notPreferred, Cold: p.cold, Load: p.load, LoadAge: p.loadAge,
+		ColdRemaining: max(0, p.Upstream.ColdUntil.Sub(p.start)), RecentSends: p.sends,
 	}
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -143,6 +143,8 @@
 	}
 	u.inflight++
 	u.served = true
+	u.sends.Add(1, now)
+	placement.sends = u.sends.Count(now)
 	if placement.cold {
 		u.coldSends.Add(1, now)
 	}
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -54,6 +54,7 @@
 	slowdownUpdatedAt      boottime.Instant
 	successProbability     float64 // probability that a request is answered
 	successUpdatedAt       boottime.Instant
+	sends                  *quota.Window // requests sent in the last second
 	coldSends              *quota.Window // requests sent in the last second while cold
 	history                sendHistory
 	consecutiveUnreachable int // connections in a row that could not be opened
@@ -63,7 +64,7 @@
 	return &upstream{
 		Upstream: entry, region: region, slots: max(entry.Slots, 1),
 		slowdown: 1, successProbability: 1,
-		coldSends: quota.NewWindow(time.Second),
+		sends: quota.NewWindow(time.Second), coldSends: quota.NewWindow(time.Second),
 	}
 }
 
