--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,7 +65,7 @@
 		metrics:    newRequestMetrics(o.Metrics),
 		logLimiter: &logLimiter{logger: o.Logger},
 	}
-	g.state = newState(settings, o.Schema, o.Logger, g.limits)
+	g.state = newState(settings, o.Schema, o.Logger, g.limits, boottime.Now)
 	g.transports = newTransports(g.maxConnections)
 	g.state.onUpstreams = g.transports.retain
 	g.replica = replica.New(replica.Options{
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -25,6 +25,7 @@
 	settings *liveSettings
 	schema   Schema
 	logger   log.Logger
+	clock    boottime.Clock
 	pool     *placement.Pool
 	limits   *limits
 	// onUpstreams is called with all known upstreams after each change.
@@ -43,11 +44,12 @@
 	evacuated   map[string]bool // by failure domain
 }
 
-func newState(settings *liveSettings, schema Schema, logger log.Logger, limits *limits) *state {
+func newState(settings *liveSettings, schema Schema, logger log.Logger, limits *limits, clock boottime.Clock) *state {
 	s := &state{
 		settings:    settings,
 		schema:      schema,
 		logger:      logger,
+		clock:       clock,
 		limits:      limits,
 		upstreams:   catalog.NewSet[catalog.Upstream](),
 		hostMembers: catalog.NewSet[catalog.Host](),
@@ -113,7 +115,7 @@
 func (s *state) Reset(entries []kvstore.Entry, recovered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := boottime.Now()
+	now := s.clock()
 	if recovered {
 		s.outageEnded(now)
 	}
@@ -138,7 +140,7 @@
 func (s *state) Apply(entries []kvstore.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := boottime.Now()
+	now := s.clock()
 	for _, entry := range entries {
 		s.apply(entry, now)
 	}
@@ -152,7 +154,7 @@
 func (s *state) StoreRegained() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.outageEnded(boottime.Now())
+	s.outageEnded(s.clock())
 }
 
 // outageEnded records the end of an outage of the store. The caller holds mu.
@@ -166,7 +168,7 @@
 func (s *state) expireAbsent() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := boottime.Now()
+	now := s.clock()
 	expired := append(s.upstreams.Expire(now), s.hostMembers.Expire(now)...)
 	if len(expired) == 0 {
 		return
@@ -274,7 +276,7 @@
 	hosts := newestIncarnations(s.hostMembers.All())
 	s.hosts.Store(&hosts)
 	s.onHosts(hosts)
-	s.limits.update(s.table.Load(), hosts, boottime.Now())
+	s.limits.update(s.table.Load(), hosts, s.clock())
 }
 
 // setOnHosts sets the function that is called with all known hosts after each
