Leased shares: give small failure domains' shares to the whole region

Cause: with one or two hosts in a failure domain, a host that loses the store takes all units of its domain's cold upstreams with it until others may claim them. And an upstream whose evacuation had ended was treated as slow for a whole cold start although its entry mostly says that it is warm.

Change: a failure domain with fewer than four hosts has its shares held by all hosts of its region, as the rate was divided before. Shares move when the set of hosts has been unchanged for two seconds (four before), and a share without a holder is claimed once it has been for one second. After an evacuation the requests are limited for as long as an entry may be late (1.5 s), without counting the upstream as slow.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -132,8 +132,8 @@
 		"wait_ms", inputs.Wait.Milliseconds(), "work_ms", inputs.ServiceTime.Milliseconds(), "err", err)
 }
 
-// logColdRequest writes one line about a request that is sent to a cold upstream,
-// with the inputs of this host's share of the upstream's rate.
+// logColdRequest writes one line about a request that is sent to an upstream that is or
+// may be cold, with the inputs of this host's share of the upstream's rate.
 func (x *exchange) logColdRequest(placed *placement.Placement) {
 	if !x.gateway.logLimiter.allow(false) {
 		return
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -238,8 +238,8 @@
 	}
 	x.attempts++
 	x.lastPlacement = &placed
-	x.gateway.metrics.countPlacement(placed.Inputs().Cold)
-	if placed.Inputs().Cold {
+	x.gateway.metrics.countPlacement(placed.Inputs().Limited)
+	if placed.Inputs().Limited {
 		x.logColdRequest(&placed)
 	}
 	x.triedUpstreams = append(x.triedUpstreams, placed.Upstream.ID)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,10 +34,11 @@
 	metrics.GetOrRegisterCounter("attempt.result."+result, m.registry).Inc(1)
 }
 
-// countPlacement counts a request that was placed at an upstream, cold or warm.
-func (m *requestMetrics) countPlacement(cold bool) {
+// countPlacement counts a request that was placed at an upstream. limited tells whether
+// the requests to it are limited like those to a cold one.
+func (m *requestMetrics) countPlacement(limited bool) {
 	temperature := "warm"
-	if cold {
+	if limited {
 		temperature = "cold"
 	}
 	metrics.GetOrRegisterCounter("placement."+temperature, m.registry).Inc(1)
--- a/internal/leasedshare/holder.go
+++ b/internal/leasedshare/holder.go
@@ -16,17 +16,17 @@
 	// MaxSendDelay bounds the time from a host's decision to use a unit until the use
 	// takes effect, such as the time in which a connection is opened.
 	MaxSendDelay = 500 * time.Millisecond
-	// claimDelay is how long a share must have had no holder before another host
-	// claims it. A host that restarts quickly gets its shares back.
-	claimDelay = 1 * time.Second
-	// knownHostsDelay is how long the set of hosts must have been unchanged before a
-	// share without a holder is claimed, unless it has had none for maxClaimDelay. Hosts
-	// that start together would claim each other's shares otherwise.
-	knownHostsDelay = 1 * time.Second
-	maxClaimDelay   = 3 * time.Second
+	// claimDelay is how long the set of hosts must have been unchanged before a share
+	// without a holder is claimed, unless it has had none for maxClaimDelay. Hosts that
+	// start together would claim each other's shares otherwise.
+	claimDelay    = 1 * time.Second
+	maxClaimDelay = 3 * time.Second
 	// moveDelay is how long the set of hosts must have been unchanged before a host
 	// gives up shares that another host should hold.
-	moveDelay = 4 * time.Second
+	moveDelay = 2 * time.Second
+	// minLocalHosts is the number of hosts from which a failure domain holds its shares
+	// alone. With fewer, the loss of one host would leave many units without a holder.
+	minLocalHosts = 4
 	// retryDelay is the pause after a claim that failed.
 	retryDelay = 1 * time.Second
 )
@@ -196,18 +196,13 @@
 // caller holds mu.
 func (h *Holder) holds(r *record) bool { return r.heldUnder != 0 && r.heldUnder == h.lease }
 
-// groups returns the groups whose shares this host may have to hold, in order: its
-// own failure domain, and those of its region that have no hosts. The caller holds
-// mu.
+// groups returns the groups whose shares this host may have to hold, in order: the
+// failure domains of its region. The caller holds mu.
 func (h *Holder) groups() []string {
 	region := h.options.Regions[h.options.FailureDomain]
-	populated := map[string]bool{}
-	for _, domain := range h.hosts {
-		populated[domain] = true
-	}
 	var groups []string
 	for _, domain := range slices.Sorted(maps.Keys(h.options.Regions)) {
-		if domain == h.options.FailureDomain || h.options.Regions[domain] == region && !populated[domain] {
+		if h.options.Regions[domain] == region {
 			groups = append(groups, domain)
 		}
 	}
@@ -215,7 +210,8 @@
 }
 
 // assignment returns which host should hold each share of a group: one of its failure
-// domain, or of the region if the failure domain has no hosts. The caller holds mu.
+// domain, or of the region if the failure domain has fewer than minLocalHosts. The
+// caller holds mu.
 func (h *Holder) assignment(group string) [SharesPerGroup]string {
 	if holders, ok := h.assigned[group]; ok {
 		return holders
@@ -227,7 +223,7 @@
 			local = append(local, host)
 		}
 	}
-	if len(local) > 0 {
+	if len(local) >= minLocalHosts {
 		all = local
 	}
 	h.assigned[group] = assign(group, all)
@@ -307,7 +303,7 @@
 		return false
 	case r.revision == 0:
 		free := now.Sub(r.changedSeen)
-		return h.registered && (free >= maxClaimDelay || free >= claimDelay && now.Sub(h.hostsChanged) >= knownHostsDelay)
+		return h.registered && (free >= maxClaimDelay || now.Sub(h.hostsChanged) >= claimDelay)
 	default:
 		return r.holder == h.options.Host
 	}
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -19,6 +19,7 @@
 	request Request
 	start   boottime.Instant
 	cold    bool
+	limited bool // see Pool.isLimited
 	sent    bool // guarded by the pool's mutex; see Sent
 	sends   int  // see Inputs.RecentSends
 	load    float64
@@ -32,6 +33,7 @@
 	HitProbability float64       // probability that the upstream has the object cached
 	Preferred      bool          // the upstream is a preferred upstream of the object
 	Cold           bool          // the upstream is in its cold start
+	Limited        bool          // the requests to the upstream are limited like those to a cold one
 	ColdRemaining  time.Duration // until the cold start ends
 	RecentSends    int           // requests that this host sent to the upstream within one second, this one included
 	Load           float64       // estimated number of requests at the upstream
@@ -42,7 +44,7 @@
 func (p *Placement) Inputs() Inputs {
 	return Inputs{
 		Wait: fromMilliseconds(p.chosen.wait), ServiceTime: fromMilliseconds(p.chosen.serviceTime()),
-		HitProbability: p.chosen.hitProb, Preferred: p.chosen.preference != notPreferred, Cold: p.cold, Load: p.load, LoadAge: p.loadAge,
+		HitProbability: p.chosen.hitProb, Preferred: p.chosen.preference != notPreferred, Cold: p.cold, Limited: p.limited, Load: p.load, LoadAge: p.loadAge,
 		ColdRemaining: max(0, p.Upstream.ColdUntil.Sub(p.start)), RecentSends: p.sends,
 	}
 }
@@ -165,20 +167,20 @@
 	}
 }
 
-// Sent records that the whole request has been sent. Without it, a request to a cold
-// upstream counts as sent when Done is called.
+// Sent records that the whole request has been sent. Without it, a request to an
+// upstream whose requests are limited counts as sent when Done is called.
 func (p *Placement) Sent(now boottime.Instant) {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	p.recordSent(now)
 }
 
-// recordSent counts a request to a cold upstream once. The caller holds the pool's
-// mutex.
+// recordSent counts a request to an upstream whose requests are limited, once. The
+// caller holds the pool's mutex.
 func (p *Placement) recordSent(now boottime.Instant) {
-	if p.cold && !p.sent {
+	if p.limited && !p.sent {
 		p.sent = true
-		p.chosen.upstream.recordColdSend(now)
+		p.chosen.upstream.recordSend(now)
 	}
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -89,8 +89,7 @@
 		u.Draining = entry.Draining
 		u.extendColdStart(entry.ColdUntil, known != nil, now)
 		if wasEvacuated[entry.FailureDomain] && !evacuated[entry.FailureDomain] {
-			// Its entry may not say yet that it turned cold without requests.
-			u.extendColdStart(now.Add(p.settings.ColdStart(entry.Service)), false, now)
+			u.limitedUntil = now.Add(entryDelay) // its entry may not say yet that it turned cold
 		}
 		present[entry.ID] = u
 		s := p.service(entry.Service)
@@ -148,12 +147,12 @@
 	u := best.upstream
 	placement := Placement{
 		Upstream: u.Upstream, Remote: u.region != p.settings.Region,
-		pool: p, service: s, chosen: best, request: request, start: now, cold: p.isCold(u, now),
+		pool: p, service: s, chosen: best, request: request, start: now, cold: u.cold(now), limited: p.isLimited(u, now),
 		load: u.occupancy(now), loadAge: now.Sub(u.upstreamLoadAt),
 	}
 	u.inflight++
 	u.served = true
-	placement.sends = u.recordPlacement(placement.cold, now)
+	placement.sends = u.recordPlacement(placement.limited, now)
 	if preferred != nil {
 		u.history.record(object)
 		s.recordSend(object, u)
@@ -197,7 +196,7 @@
 			updateRefusal(&refusal, ReasonShift, minRetryAfter)
 			continue
 		}
-		if p.isCold(u, now) && !p.coldSendAllowed(u, now) {
+		if p.isLimited(u, now) && !p.limitedSendAllowed(u, now) {
 			updateRefusal(&refusal, ReasonCold, coldRetryAfter)
 			continue
 		}
@@ -254,19 +253,20 @@
 	return false
 }
 
-// isCold reports whether an upstream must be treated as cold. Besides its cold start,
-// that holds after an assumed restart until the upstreams' entries have been read a
-// cold start later: until then, the upstream may have restarted at any time.
-func (p *Pool) isCold(u *upstream, now boottime.Instant) bool {
-	return u.cold(now) || u.warmIfCurrentAt != 0 && p.settings.ViewProof() < u.warmIfCurrentAt
+// isLimited reports whether the requests to an upstream are limited like those to a
+// cold one: while it is cold, while its entry may not say yet that it is cold, and
+// after an assumed restart until the upstreams' entries have been read a cold start
+// later, because until then the upstream may have restarted at any time.
+func (p *Pool) isLimited(u *upstream, now boottime.Instant) bool {
+	return u.cold(now) || now.Before(u.limitedUntil) || u.warmIfCurrentAt != 0 && p.settings.ViewProof() < u.warmIfCurrentAt
 }
 
-// coldSendAllowed reports whether this host may send one more request to a cold
-// upstream. Only hosts of its own region may.
-func (p *Pool) coldSendAllowed(u *upstream, now boottime.Instant) bool {
+// limitedSendAllowed reports whether this host may send one more request to an upstream
+// whose requests are limited. Only hosts of its own region may.
+func (p *Pool) limitedSendAllowed(u *upstream, now boottime.Instant) bool {
 	if u.region != p.settings.Region {
 		return false
 	}
 	limit, limited := p.settings.ColdLimit(u.Upstream, now)
-	return !limited || !now.Before(u.coldSendsFrom) && u.recentSends(now) < limit
+	return !limited || !now.Before(u.limitedSendsFrom) && u.recentSends(now) < limit
 }
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -39,7 +39,7 @@
 		c.hitProb = s.cache.hitProbability[c.preference][s.cache.distanceClass(c.reuseDistance, c.sent)]
 	}
 	slowdown := u.currentSlowdown(now)
-	if p.isCold(u, now) {
+	if u.cold(now) {
 		slowdown *= coldSlowdown
 	}
 	c.cachedMS, c.uncachedMS = e.cachedMS*slowdown, e.uncachedMS*slowdown
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -34,6 +34,8 @@
 	// that turned cold: the second over which requests are counted, in which hosts that
 	// learn of it later send as to a warm upstream.
 	coldSettleTime = 1 * time.Second
+	// entryDelay is the longest time between two writes of an upstream's entry.
+	entryDelay = 1500 * time.Millisecond
 	// coldSlowdown is the factor on the service time of a cold upstream.
 	coldSlowdown = 2.0
 )
@@ -59,9 +61,10 @@
 	successProbability     float64 // probability that a request is answered
 	successUpdatedAt       boottime.Instant
 	sends                  *quota.Window    // requests sent in the last second
-	unsentCold             int              // requests placed while cold that may not have been sent yet
-	warmIfCurrentAt        boottime.Instant // see Pool.isCold, zero if it was never assumed to restart
-	coldSendsFrom          boottime.Instant // requests are sent while cold from then on
+	unsent                 int              // requests placed while limited that may not have been sent yet
+	limitedUntil           boottime.Instant // see Pool.isLimited
+	warmIfCurrentAt        boottime.Instant // see Pool.isLimited, zero if it was never assumed to restart
+	limitedSendsFrom       boottime.Instant // requests are sent while limited from then on
 	history                sendHistory
 	consecutiveUnreachable int // connections in a row that could not be opened
 }
@@ -93,32 +96,32 @@
 		return
 	}
 	if wasUsed && !u.cold(now) {
-		u.coldSendsFrom = now.Add(coldSettleTime)
+		u.limitedSendsFrom = now.Add(coldSettleTime)
 	}
 	u.ColdUntil = until
 }
 
 // recordPlacement counts a placed request and returns the requests that this host has
-// sent within the last second, this one included. A request to a cold upstream counts
-// from its placement until one second after it was sent.
-func (u *upstream) recordPlacement(cold bool, now boottime.Instant) int {
-	if cold {
-		u.unsentCold++
+// sent within the last second, this one included. If requests to the upstream are
+// limited, it counts from its placement until one second after it was sent.
+func (u *upstream) recordPlacement(limited bool, now boottime.Instant) int {
+	if limited {
+		u.unsent++
 	} else {
 		u.sends.Add(1, now)
 	}
 	return u.recentSends(now)
 }
 
-// recordColdSend counts a request to a cold upstream as sent now.
-func (u *upstream) recordColdSend(now boottime.Instant) {
-	u.unsentCold--
+// recordSend counts a request that was placed while limited as sent now.
+func (u *upstream) recordSend(now boottime.Instant) {
+	u.unsent--
 	u.sends.Add(1, now)
 }
 
 // recentSends returns the requests that this host has sent within the last second or
 // may be about to send.
-func (u *upstream) recentSends(now boottime.Instant) int { return u.unsentCold + u.sends.Count(now) }
+func (u *upstream) recentSends(now boottime.Instant) int { return u.unsent + u.sends.Count(now) }
 
 func (u *upstream) cold(now boottime.Instant) bool { return now.Before(u.ColdUntil) }
 
