gateway: take the retry slack from leased shares

What callers would see: more retries at an upstream's service than its budget allows, after hosts restart together (BUDGET).

Cause, the same as that of FAILBACK: each host divided the slack by the number of hosts that it knew. A host that knows no other yet, as after a restart of all hosts longer than their leases, used the whole slack; a host that restarted used its part again within the window.

Change: the slack belongs to the leased shares of all failure domains; a new holder waits for the retry window. A host that has just started has the ratio of its own requests only.

TestRetrySlackHoldsThroughRestarts failed before (207 retries within the window, 206 allowed, and growing) and passes.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -78,9 +78,6 @@
 	defer l.mu.Unlock()
 	unchanged := l.table == table && slices.Equal(l.hosts, hosts)
 	l.table, l.hosts = table, hosts
-	for _, budget := range l.retryBudgets {
-		budget.Slack = l.retrySlack()
-	}
 	if table == nil || unchanged {
 		return
 	}
@@ -123,9 +120,11 @@
 	}
 }
 
-// retrySlack returns this host's share of the retry slack. The caller holds mu.
-func (l *limits) retrySlack() float64 {
-	return l.settings.get().RetrySlack * sharedLimitFraction / float64(max(len(l.hosts), 1))
+// retrySlack returns the part of the retry slack that belongs to the shares that this
+// host holds.
+func (l *limits) retrySlack(now boottime.Instant) float64 {
+	settings := l.settings.get()
+	return settings.RetrySlack * sharedLimitFraction * l.shares.Fraction(settings.RetryWindow, now)
 }
 
 // maxTokenWait bounds how long a request waits for a token. It covers a round trip
@@ -259,14 +258,16 @@
 func (l *limits) takeRetry(service string, now boottime.Instant) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.retryBudget(service).Take(now)
+	budget := l.retryBudget(service)
+	budget.Slack = l.retrySlack(now)
+	return budget.Take(now)
 }
 
 // retryBudget returns the retry budget of a service. The caller holds mu.
 func (l *limits) retryBudget(service string) *quota.RetryBudget {
 	budget := l.retryBudgets[service]
 	if budget == nil {
-		budget = quota.NewRetryBudget(l.settings.get().RetryWindow, l.settings.get().RetryRatio*sharedLimitFraction, l.retrySlack())
+		budget = quota.NewRetryBudget(l.settings.get().RetryWindow, l.settings.get().RetryRatio*sharedLimitFraction, 0)
 		l.retryBudgets[service] = budget
 	}
 	return budget
