placement: count sends to cold upstreams across changes of their entries

What callers could see: a cold upstream gets up to twice a host's units within one second when its entry vanishes and returns, as after an outage of the store, because the host forgot what it had sent.

Cause: the count was part of the upstream's state, which is made anew when its entry returns or its incarnation changes. Change: counts are kept by upstream ID while they hold requests of the last second.

TestVanishedEntryDoesNotResetTheCount failed before (3 requests where none were left) and passes.

--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -36,6 +36,19 @@
 	require.NoError(t, err)
 }
 
+// An entry may vanish and return during an outage of the store.
+func TestVanishedEntryDoesNotResetTheCount(t *testing.T) {
+	p := poolOf(nil, coldEntry(t0.Add(5*time.Second)))
+	counts, _ := placeMany(p, 20, t0)
+	require.Equal(t, 3, counts["u"])
+	p.SetUpstreams(nil, nil, t0.Add(100*time.Millisecond))
+	p.SetUpstreams([]catalog.Upstream{coldEntry(t0.Add(5 * time.Second))}, nil, t0.Add(200*time.Millisecond))
+	counts, _ = placeMany(p, 20, t0.Add(300*time.Millisecond))
+	require.Zero(t, counts["u"])
+	counts, _ = placeMany(p, 20, t0.Add(1200*time.Millisecond))
+	require.Equal(t, 3, counts["u"])
+}
+
 func TestHostWithoutUnitsSendsNothingToAColdUpstream(t *testing.T) {
 	p := poolOf(func(s *Settings) { s.ColdLimit = limitOf(0) }, coldEntry(t0.Add(5*time.Second)))
 	_, err := p.Place(requestAt(t0), t0)
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -180,7 +180,7 @@
 func (p *Placement) recordSent(now boottime.Instant) {
 	if p.limited && !p.sent {
 		p.sent = true
-		p.chosen.upstream.recordSend(now)
+		p.chosen.upstream.sends.recordSend(now)
 	}
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -47,6 +48,7 @@
 
 	mu          sync.Mutex // guards the fields below; not held during I/O
 	upstreams   map[string]*upstream
+	sendCounts  map[string]*sendCount // by upstream ID, also of upstreams that are absent for the moment
 	services    map[string]*service
 	estimates   map[string]*routeEstimate
 	evacuated   map[string]bool // failure domains that get no requests
@@ -60,6 +62,7 @@
 	return &Pool{
 		settings:    settings,
 		upstreams:   map[string]*upstream{},
+		sendCounts:  map[string]*sendCount{},
 		services:    map[string]*service{},
 		estimates:   map[string]*routeEstimate{},
 		peerReports: map[string]peerReport{},
@@ -83,7 +86,7 @@
 		known := p.upstreams[entry.ID]
 		u := known
 		if known == nil || known.Address != entry.Address || known.Service != entry.Service || known.Incarnation != entry.Incarnation {
-			u = newUpstream(entry, p.settings.Regions[entry.FailureDomain])
+			u = newUpstream(entry, p.settings.Regions[entry.FailureDomain], p.sendCount(entry.ID))
 			u.ColdUntil = 0
 		}
 		u.Draining = entry.Draining
@@ -96,12 +99,24 @@
 		s.all = append(s.all, u)
 	}
 	p.upstreams = present
+	maps.DeleteFunc(p.sendCounts, func(id string, c *sendCount) bool { return present[id] == nil && c.recent(now) == 0 })
 	for _, s := range p.services {
 		slices.SortFunc(s.all, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
 		s.rebuildIndex(p.evacuated, p.settings.FailureDomain)
 	}
 }
 
+// sendCount returns the count of an upstream and creates it if necessary. The caller
+// holds mu.
+func (p *Pool) sendCount(id string) *sendCount {
+	c := p.sendCounts[id]
+	if c == nil {
+		c = newSendCount()
+		p.sendCounts[id] = c
+	}
+	return c
+}
+
 // service returns the state of a service and creates it if necessary. The caller
 // holds mu.
 func (p *Pool) service(name string) *service {
@@ -152,7 +167,8 @@
 	}
 	u.inflight++
 	u.served = true
-	placement.sends = u.recordPlacement(placement.limited, now)
+	u.sends.recordPlacement(placement.limited, now)
+	placement.sends = u.sends.recent(now)
 	if preferred != nil {
 		u.history.record(object)
 		s.recordSend(object, u)
@@ -268,5 +284,5 @@
 		return false
 	}
 	limit, limited := p.settings.ColdLimit(u.Upstream, now)
-	return !limited || !now.Before(u.limitedSendsFrom) && u.recentSends(now) < limit
+	return !limited || !now.Before(u.limitedSendsFrom) && u.sends.recent(now) < limit
 }
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -6,7 +6,6 @@
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
-	"peridotrail/internal/quota"
 )
 
 // Load is the load that an upstream reported with a response, in requests.
@@ -60,8 +59,7 @@
 	slowdownUpdatedAt      boottime.Instant
 	successProbability     float64 // probability that a request is answered
 	successUpdatedAt       boottime.Instant
-	sends                  *quota.Window    // requests sent in the last second
-	unsent                 int              // requests placed while limited that may not have been sent yet
+	sends                  *sendCount
 	limitedUntil           boottime.Instant // see Pool.isLimited
 	warmIfCurrentAt        boottime.Instant // see Pool.isLimited, zero if it was never assumed to restart
 	limitedSendsFrom       boottime.Instant // requests are sent while limited from then on
@@ -69,11 +67,11 @@
 	consecutiveUnreachable int // connections in a row that could not be opened
 }
 
-func newUpstream(entry catalog.Upstream, region string) *upstream {
+func newUpstream(entry catalog.Upstream, region string, sends *sendCount) *upstream {
 	return &upstream{
 		Upstream: entry, region: region, slots: max(entry.Slots, 1),
 		slowdown: 1, successProbability: 1,
-		sends: quota.NewWindow(time.Second),
+		sends: sends,
 	}
 }
 
@@ -101,28 +99,6 @@
 	u.ColdUntil = until
 }
 
-// recordPlacement counts a placed request and returns the requests that this host has
-// sent within the last second, this one included. If requests to the upstream are
-// limited, it counts from its placement until one second after it was sent.
-func (u *upstream) recordPlacement(limited bool, now boottime.Instant) int {
-	if limited {
-		u.unsent++
-	} else {
-		u.sends.Add(1, now)
-	}
-	return u.recentSends(now)
-}
-
-// recordSend counts a request that was placed while limited as sent now.
-func (u *upstream) recordSend(now boottime.Instant) {
-	u.unsent--
-	u.sends.Add(1, now)
-}
-
-// recentSends returns the requests that this host has sent within the last second or
-// may be about to send.
-func (u *upstream) recentSends(now boottime.Instant) int { return u.unsent + u.sends.Count(now) }
-
 func (u *upstream) cold(now boottime.Instant) bool { return now.Before(u.ColdUntil) }
 
 // occupancy returns the expected number of requests at the upstream.
