--- a/internal/gateway/cold_rate_test.go
+++ b/internal/gateway/cold_rate_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"peridotrail/internal/knownfailure"
 )
 
 // Shapes of regions: those of deployments that run today, then larger ones and ones
@@ -42,7 +44,7 @@
 	}
 }
 
-// event disturbs a fleet at random.
+// event disturbs a fleet at random. Some events do nothing.
 func (f *coldFleet) event(found *findings) {
 	h := f.hosts[f.random.IntN(len(f.hosts))]
 	u := f.upstreams[f.random.IntN(len(f.upstreams))]
@@ -112,6 +114,15 @@
 	}
 }
 
+// Hosts that start while an upstream is down read its old entry and get no refusal. All
+// other hosts are down, so two hosts send the requests of two failure domains to it.
+func TestColdRateOfHostsThatStartDuringARestart(t *testing.T) {
+	knownfailure.SkipIfListed(t)
+	shape := coldShapes[1]
+	found := runColdHistory(shape, 2161)
+	require.LessOrEqual(t, found.connected.requests, shape.limit, "%v", found.connected)
+}
+
 // runColdHistory runs one history.
 func runColdHistory(shape fleetShape, seed uint64) findings {
 	const steps, calmSteps = 3000, 600 // the last steps have no new events
