gateway: log which requests lost their connection, and whether the upstream crashed

A refused connection means that the process is gone, an open one that only the connection ended. Requests of one process share the probe. Nothing else changes.

--- a/internal/entry/forward/payload.go
+++ b/internal/entry/forward/payload.go
@@ -97,6 +97,15 @@
 	return p.buffer[:p.size], true
 }
 
+// Prefix returns the beginning of the body, at most PayloadBufferBytes, and whether it is
+// the whole body. The slice is valid until Release.
+func (p *Payload) Prefix() (prefix []byte, whole bool) {
+	if p.buffer == nil {
+		return nil, p.rest == nil
+	}
+	return p.buffer[:p.size], p.rest == nil
+}
+
 // Replayable reports whether the body can be sent again.
 func (p *Payload) Replayable() bool { return p.rest == nil || !p.restConsumed.Load() }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
+	"peridotrail/internal/crashguard"
 	"peridotrail/internal/entry/forward"
 	"peridotrail/internal/placement"
 	"peridotrail/internal/problem"
@@ -41,6 +42,9 @@
 	responseStarted bool   // part of a response may have been sent
 	lastResult      string // result of the last attempt, for the log
 
+	identity   crashguard.Fingerprint // see fingerprint
+	identified bool                   // identity is set
+
 	unreachable bool           // this host can't reach any upstream of the service, as of the last placement
 	relayedBy   string         // name of the host from which this host has the request, empty if from the caller
 	relayedTo   string         // name of the host that sent the request, empty if none did
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,7 @@
 	metrics    *requestMetrics
 	logLimiter *logLimiter
 	links      *linkhealth.Tracker
+	crashes    *crashProber
 	dial       forward.DialFunc
 	relays     *relays // nil if the host neither relays requests nor sends them for others; set before requests are served
 	started    int64   // incarnation of this process
@@ -82,6 +83,7 @@
 	if g.dial == nil {
 		g.dial = forward.NewDialer(upstreamDialTimeout, upstreamSilenceTimeout).DialContext
 	}
+	g.crashes = newCrashProber(g.probeCrash, g.reportCrash)
 	g.transports = newTransports(g.maxConnections, g.dialUpstream)
 	g.state.onUpstreams = g.transports.retain
 	g.replica = replica.New(replica.Options{
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -70,6 +70,12 @@
 	metrics.GetOrRegisterCounter("links."+change, m.registry).Inc(1)
 }
 
+// countCrashVerdict counts a request whose connection to an upstream ended before its
+// response was complete, by what became of the upstream.
+func (m *requestMetrics) countCrashVerdict(verdict crashVerdict) {
+	metrics.GetOrRegisterCounter("connection.ended."+string(verdict), m.registry).Inc(1)
+}
+
 // countPanic counts a request whose handler panicked.
 func (m *requestMetrics) countPanic() {
 	metrics.GetOrRegisterCounter("request.panics", m.registry).Inc(1)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -170,6 +170,7 @@
 		return attemptOutcome{result: resultNotRun, linkFailed: linkFailed}
 	}
 	x.arrived = true
+	x.connectionEnded(placed.Upstream)
 	return attemptOutcome{result: resultUnknown, linkFailed: linkFailed}
 }
 
