Limit the upstreams that a request which crashes them reaches

What callers saw: a request that crashes each upstream that runs it was sent on each time it came again; each crash ended the other requests at that upstream.

Cause: no host remembered a request beyond its own end, and no host heard of crashes that others saw. Class of fault: a bound over all hosts without anything that all hosts share.

Change: internal/crashguard. Hosts record in the store which processes crashed under which fingerprint; from the second crash on, one conditional write of the record comes before each attempt, so the attempts are counted by the store and not by the hosts. A crash in such a trial leads to a quarantine of 2 minutes that doubles. Complete responses clear a request, and crashes of a guilty request don't count for others.

--- a/internal/crashguard/process.go
+++ b/internal/crashguard/process.go
@@ -6,3 +6,11 @@
 	Upstream    string `json:"upstream"` // ID
 	Incarnation int64  `json:"incarnation"`
 }
+
+// Crash is the crash of an upstream process while it ran a request.
+type Crash struct {
+	Process
+	Request string `json:"request"`         // ID of the attempt of the caller
+	Host    string `json:"host"`            // entry host that sent it
+	Trial   bool   `json:"trial,omitempty"` // the request was sent as a trial
+}
--- /dev/null
+++ b/internal/crashguard/table.go
@@ -0,0 +1,512 @@
+package crashguard
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"peridotrail/internal/boottime"
+	"peridotrail/internal/kvstore"
+)
+
+const (
+	// suspectCrashes is the number of crashes from which a request is sent only as a trial,
+	// one at a time in the whole fleet.
+	suspectCrashes = 2
+	// firstQuarantine is the time from the crash of a trial to the next one. It doubles with
+	// each further trial.
+	firstQuarantine = 2 * time.Minute
+	maxQuarantine   = time.Hour
+	// trialTime is how long a trial normally takes. While two crashes are known, the next trial
+	// is due so long after one without a known result, while more are known, unresolvedDelay
+	// after it. Both double with each further one.
+	trialTime       = 5 * time.Second
+	unresolvedDelay = 30 * time.Second
+	trialRetryAfter = 2 * time.Second
+	// saveTime is the time in which a crash is normally recorded in the store.
+	saveTime       = 2 * time.Second
+	saveRetryAfter = time.Second
+	// retryHold delays the record of a crash while its request is retried: a complete
+	// response shows that the request is harmless.
+	retryHold = 500 * time.Millisecond
+	// writeRetryDelay is the time between two writes of one record.
+	writeRetryDelay = 500 * time.Millisecond
+	// forgetTime is how long a record is kept after its quarantine.
+	forgetTime = 10 * time.Minute
+	// maxDeletionDelay spreads the deletions of expired records over the hosts, so that
+	// one of them deletes a record and the others see it.
+	maxDeletionDelay = time.Minute
+	// surplusAge is the age from which a record beyond the number for its account is
+	// deleted, before the delay of the host.
+	surplusAge = time.Second
+	// maxPerAccount limits the records of one client account. Beyond it the records with
+	// the fewest crashes are deleted, oldest first.
+	maxPerAccount = 32
+	// cleanupInterval is the time between two checks for records to delete.
+	cleanupInterval = time.Second
+	// maxWrites limits the writes that are due at once.
+	maxWrites = 8
+)
+
+// Verdict says whether a request may be sent.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Allowed Verdict = iota // it may be sent
+	Trial                  // it may be sent once, after a claim has been written to the store; see Claim
+	Refused                // it must not be sent now
+)
+
+// Decision is the decision about one request.
+type Decision struct {
+	Verdict    Verdict
+	Crashes    []Crash       // known crashes of upstreams that ran the request
+	RetryAfter time.Duration // until a trial may be due, if refused
+}
+
+// Write is a write of one crash record.
+type Write struct {
+	Fingerprint Fingerprint
+	kvstore.Write
+
+	entry Entry
+	claim bool
+}
+
+// Table holds what one host knows about requests that crashed upstreams. It is safe for
+// concurrent use.
+type Table struct {
+	host string
+
+	mu          sync.Mutex // guards the fields below; not held during I/O
+	records     map[Fingerprint]*record
+	perAccount  map[string]int // records by account
+	nextCleanup boottime.Instant
+	omitted     int // crashes not recorded because the account has too many records
+}
+
+// record is what a host knows about one request.
+type record struct {
+	account  string // digest
+	stored   Entry
+	revision kvstore.Revision // of stored; zero if the store has no entry
+	readAt   boottime.Instant // when this process learned of the revision
+
+	found    []foundCrash // crashes that this host saw and the store does not list yet
+	refuted  []Process    // crashes that complete responses showed to have other causes
+	claiming bool         // a claim is being written
+	retryAt  boottime.Instant
+}
+
+// foundCrash is a crash that this host saw.
+type foundCrash struct {
+	Crash
+	at  boottime.Instant
+	due boottime.Instant // when it is to be written
+}
+
+// NewTable returns the empty table of a host.
+func NewTable(host string) *Table {
+	return &Table{host: host, records: map[Fingerprint]*record{}, perAccount: map[string]int{}}
+}
+
+// Empty reports whether nothing is known about any request.
+func (t *Table) Empty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records) == 0
+}
+
+// Len returns the number of requests about which something is known, and the number of
+// crashes that were not recorded because their account had too many records.
+func (t *Table) Len() (records, omitted int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records), t.omitted
+}
+
+// crashes returns the known crashes of a request.
+func (r *record) crashes() []Crash {
+	all := slices.DeleteFunc(slices.Clone(r.stored.Crashes), func(c Crash) bool { return slices.Contains(r.refuted, c.Process) })
+	for _, f := range r.found {
+		all = mergeCrashes(all, []Crash{f.Crash})
+	}
+	return all
+}
+
+// unexplained returns the known crashes of a request without those that a guilty request
+// caused which the same processes ran. The caller holds mu.
+func (t *Table) unexplained(r *record) []Crash {
+	crashes := r.crashes()
+	if len(crashes) == 0 {
+		return nil
+	}
+	for _, other := range t.records {
+		if other == r || !other.stored.guilty() || len(other.stored.Crashes) <= len(crashes) {
+			continue
+		}
+		crashes = slices.DeleteFunc(crashes, func(c Crash) bool {
+			return slices.ContainsFunc(other.stored.Crashes, func(o Crash) bool { return o.Process == c.Process })
+		})
+	}
+	return crashes
+}
+
+// trialDelay returns the time from the last change of an entry to the next trial.
+func (e Entry) trialDelay() time.Duration {
+	delay, doublings := firstQuarantine, e.Trials
+	if !e.guilty() {
+		if e.Trials == 0 {
+			return 0
+		}
+		delay, doublings = trialTime, e.Trials-1
+		if len(e.Crashes) > suspectCrashes {
+			delay = unresolvedDelay
+		}
+	}
+	for ; doublings > 0 && delay < maxQuarantine; doublings-- {
+		delay *= 2
+	}
+	return min(delay, maxQuarantine)
+}
+
+// Admit decides whether a request may be sent now.
+func (t *Table) Admit(f Fingerprint, now boottime.Instant) Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.admit(t.records[f], now)
+}
+
+// admit is Admit for a record, which may be nil. The caller holds mu.
+func (t *Table) admit(r *record, now boottime.Instant) Decision {
+	if r == nil {
+		return Decision{}
+	}
+	d := Decision{Crashes: t.unexplained(r)}
+	unsaved := len(r.found) > 0 && now.Sub(r.found[0].at) >= saveTime
+	switch {
+	case len(d.Crashes) < suspectCrashes && !unsaved:
+		return d
+	case len(r.found) > 0 || r.claiming:
+		d.Verdict, d.RetryAfter = Refused, saveRetryAfter // until the store has the crashes of this host
+		return d
+	}
+	if wait := r.readAt.Add(r.stored.trialDelay()).Sub(now); wait > 0 {
+		d.Verdict, d.RetryAfter = Refused, wait
+		if !r.stored.guilty() && now.Sub(r.readAt) < trialTime {
+			d.RetryAfter = trialRetryAfter
+		}
+		return d
+	}
+	d.Verdict = Trial
+	return d
+}
+
+// Claim returns the write that claims the next trial of a request. Other requests with the
+// fingerprint are refused until Finish is called. ok is false if no trial is due any more.
+func (t *Table) Claim(f Fingerprint, now boottime.Instant) (write Write, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[f]
+	if t.admit(r, now).Verdict != Trial {
+		return Write{}, false
+	}
+	entry := r.stored
+	entry.Trials++
+	write, err := t.newWrite(f, r, entry)
+	if err != nil {
+		return Write{}, false
+	}
+	write.claim, r.claiming = true, true
+	return write, true
+}
+
+// newWrite returns the write that replaces the entry of a record.
+func (t *Table) newWrite(f Fingerprint, r *record, entry Entry) (Write, error) {
+	value, err := json.Marshal(entry)
+	if err != nil {
+		return Write{}, errors.Wrap(err, "crash record")
+	}
+	return Write{Fingerprint: f, entry: entry, Write: kvstore.Write{Key: entryKey(r.account, f), Value: value, Expected: r.revision}}, nil
+}
+
+// Crashed records that an upstream crashed while it ran a request of a client account.
+// retried tells that the request is being sent to another upstream; Settled or Answered
+// follows. It returns false if the account has too many records.
+func (t *Table) Crashed(f Fingerprint, account string, crash Crash, retried bool, now boottime.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[f]
+	if r == nil {
+		digest := accountDigest(account)
+		if t.perAccount[digest] >= 2*maxPerAccount {
+			t.omitted++
+			return false
+		}
+		r = t.add(f, digest)
+	}
+	crash.Request, crash.Host = truncate(crash.Request), truncate(t.host)
+	found := foundCrash{Crash: crash, at: now, due: now}
+	if retried {
+		found.due = now.Add(retryHold)
+	}
+	if !lists(r.crashes(), crash) {
+		r.found = append(r.found, found)
+	}
+	return true
+}
+
+func truncate(text string) string { return text[:min(len(text), maxFieldBytes)] }
+
+// add adds an empty record. The caller holds mu.
+func (t *Table) add(f Fingerprint, account string) *record {
+	r := &record{account: account}
+	t.records[f] = r
+	t.perAccount[account]++
+	return r
+}
+
+// remove drops a record. The caller holds mu.
+func (t *Table) remove(f Fingerprint) {
+	r := t.records[f]
+	if r == nil {
+		return
+	}
+	delete(t.records, f)
+	if t.perAccount[r.account]--; t.perAccount[r.account] == 0 {
+		delete(t.perAccount, r.account)
+	}
+}
+
+// Settled records that a request is not sent to further upstreams, so that its crashes are
+// written at once.
+func (t *Table) Settled(f Fingerprint, now boottime.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[f]; r != nil {
+		for i := range r.found {
+			r.found[i].due = min(r.found[i].due, now)
+		}
+	}
+}
+
+// Answered records that an upstream sent a complete response to a request, which shows that
+// the known crashes had other causes.
+func (t *Table) Answered(f Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[f]
+	if r == nil {
+		return
+	}
+	r.found, r.refuted = nil, nil
+	for _, crash := range r.stored.Crashes {
+		r.refuted = append(r.refuted, crash.Process)
+	}
+	if r.revision == 0 {
+		t.remove(f)
+	}
+}
+
+// Reset replaces the entries of the store. It returns the errors of those that can't be
+// decoded; they count as absent.
+func (t *Table) Reset(entries []kvstore.Entry, now boottime.Instant) []error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for f, r := range t.records {
+		r.clear()
+		if len(r.found) == 0 {
+			t.remove(f)
+		}
+	}
+	var failures []error
+	for _, entry := range entries {
+		if err := t.apply(entry, now); err != nil {
+			failures = append(failures, err)
+		}
+	}
+	return failures
+}
+
+// Apply records a change of an entry of the store. An entry that can't be decoded counts
+// as one without crashes.
+func (t *Table) Apply(entry kvstore.Entry, now boottime.Instant) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.apply(entry, now)
+}
+
+// apply is Apply for a caller that holds mu.
+func (t *Table) apply(entry kvstore.Entry, now boottime.Instant) error {
+	account, f, err := parseKey(entry.Key)
+	if err != nil {
+		return err
+	}
+	r := t.records[f]
+	if !entry.Exists() {
+		if r != nil {
+			r.clear()
+			if len(r.found) == 0 && !r.claiming {
+				t.remove(f)
+			}
+		}
+		return nil
+	}
+	if r != nil && entry.Revision <= r.revision {
+		return nil // a change that this host made itself
+	}
+	if r == nil {
+		r = t.add(f, account)
+	}
+	decoded, err := decodeEntry(entry)
+	r.store(decoded, entry.Revision, now)
+	return err
+}
+
+// clear records that the store has no entry.
+func (r *record) clear() { r.stored, r.revision, r.refuted = Entry{}, 0, nil }
+
+// store records the entry that the store has.
+func (r *record) store(entry Entry, revision kvstore.Revision, now boottime.Instant) {
+	r.stored, r.revision, r.readAt = entry, revision, now
+	r.refuted = slices.DeleteFunc(r.refuted, func(p Process) bool {
+		return !slices.ContainsFunc(entry.Crashes, func(c Crash) bool { return c.Process == p })
+	})
+	r.found = slices.DeleteFunc(r.found, func(f foundCrash) bool { return lists(entry.Crashes, f.Crash) })
+}
+
+// lists reports whether a crash adds nothing to the crashes of a record.
+func lists(all []Crash, crash Crash) bool {
+	i := slices.IndexFunc(all, func(c Crash) bool { return c.Process == crash.Process })
+	if i < 0 {
+		return len(all) >= maxCrashes && !crash.Trial
+	}
+	return all[i].Trial || !crash.Trial
+}
+
+// Writes returns the writes that this host should make now: crashes that it saw, and
+// deletions of records that are harmless, expired or too many. Finish must be called with
+// the result of each.
+func (t *Table) Writes(now boottime.Instant) []Write {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var expired map[Fingerprint]bool
+	if !now.Before(t.nextCleanup) {
+		t.nextCleanup = now.Add(cleanupInterval)
+		expired = t.expired(now)
+	}
+	var due []Write
+	for f, r := range t.records {
+		if len(due) == maxWrites {
+			break
+		}
+		if now.Before(r.retryAt) || r.claiming {
+			continue
+		}
+		write, err := t.dueWrite(f, r, expired[f], now)
+		if err != nil || write.Key == "" {
+			continue
+		}
+		r.retryAt = now.Add(writeRetryDelay)
+		due = append(due, write)
+	}
+	return due
+}
+
+// dueWrite returns the write of a record, without a key if none is due. The caller holds mu.
+func (t *Table) dueWrite(f Fingerprint, r *record, expired bool, now boottime.Instant) (Write, error) {
+	isDue := slices.ContainsFunc(r.found, func(c foundCrash) bool { return !now.Before(c.due) })
+	crashes := r.crashes()
+	switch {
+	case r.revision != 0 && (len(crashes) == 0 || expired && !isDue):
+		return Write{Fingerprint: f, Write: kvstore.Write{Key: entryKey(r.account, f), Expected: r.revision, Delete: true}}, nil
+	case isDue || len(r.refuted) > 0:
+		entry := Entry{Crashes: crashes, Trials: r.stored.Trials}
+		if entry.guilty() != r.stored.guilty() {
+			entry.Trials = 0
+		}
+		return t.newWrite(f, r, entry)
+	default:
+		return Write{}, nil
+	}
+}
+
+// expired returns the records to delete: those whose time is over, and those beyond the
+// number for their account. The caller holds mu.
+func (t *Table) expired(now boottime.Instant) map[Fingerprint]bool {
+	over := map[Fingerprint]bool{}
+	surplus := map[string][]Fingerprint{}
+	for f, r := range t.records {
+		if r.revision == 0 {
+			continue
+		}
+		delay := t.deletionDelay(f)
+		if now.Sub(r.readAt) > r.stored.trialDelay()+forgetTime+delay {
+			over[f] = true
+		}
+		if t.perAccount[r.account] > maxPerAccount {
+			surplus[r.account] = append(surplus[r.account], f)
+		}
+	}
+	for account, all := range surplus {
+		slices.SortFunc(all, func(a, b Fingerprint) int { return t.records[a].compare(t.records[b]) })
+		for _, f := range all[:min(len(all), t.perAccount[account]-maxPerAccount)] {
+			if now.Sub(t.records[f].readAt) > surplusAge+t.deletionDelay(f)/10 {
+				over[f] = true
+			}
+		}
+	}
+	return over
+}
+
+// compare orders records by how much they are worth keeping: those with few crashes first,
+// and the oldest of them.
+func (r *record) compare(other *record) int {
+	if n := len(r.stored.Crashes) - len(other.stored.Crashes); n != 0 {
+		return n
+	}
+	return int(int64(r.revision) - int64(other.revision))
+}
+
+// deletionDelay returns this host's delay before it deletes a record that is over.
+func (t *Table) deletionDelay(f Fingerprint) time.Duration {
+	digest := fnv.New64a()
+	_, _ = digest.Write(f[:]) // a hash returns no error
+	_, _ = digest.Write([]byte(t.host))
+	return time.Duration(digest.Sum64() % uint64(maxDeletionDelay))
+}
+
+// Finish records the result of a write. A write whose outcome is not known is made again;
+// its condition keeps it from taking effect twice. It reports whether the write is known to
+// have succeeded: only then a claim permits a trial.
+func (t *Table) Finish(write Write, revision kvstore.Revision, err error, now boottime.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[write.Fingerprint]
+	if r == nil {
+		return err == nil
+	}
+	if write.claim {
+		r.claiming = false
+	}
+	switch {
+	case err != nil:
+		return false
+	case write.Delete:
+		if r.revision != write.Expected {
+			return true // the record has changed since
+		}
+		r.clear()
+		if len(r.found) == 0 {
+			t.remove(write.Fingerprint)
+		}
+	case revision > r.revision:
+		r.store(write.entry, revision, now)
+	}
+	return true
+}
--- a/internal/gateway/crash_probe.go
+++ b/internal/gateway/crash_probe.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
@@ -35,7 +37,7 @@
 const (
 	verdictCrashed crashVerdict = "crashed" // it refuses connections
 	verdictRunning crashVerdict = "running" // it accepts connections, so only a connection ended
-	verdictUnknown crashVerdict = "unknown" // it can't be reached
+	verdictUnknown crashVerdict = "unknown" // it can't be reached, or neither can others
 )
 
 // brokenRequest is a request whose connection ended before its response was complete.
@@ -43,11 +45,19 @@
 	fingerprint crashguard.Fingerprint
 	account     string
 	id          string // of the caller's attempt
+	trial       bool   // it was sent as a trial
+	progress    *requestProgress
+}
+
+// requestProgress says what became of a request after a connection of it had ended.
+type requestProgress struct {
+	settled  atomic.Bool // it is sent to no further upstream
+	answered atomic.Bool // an upstream sent a complete response
 }
 
 // crashProber finds out whether upstreams crashed. It is safe for concurrent use.
 type crashProber struct {
-	probe  func(address string) crashVerdict
+	probe  func(upstream catalog.Upstream) crashVerdict
 	report func(upstream catalog.Upstream, verdict crashVerdict, requests []brokenRequest)
 
 	mu     sync.Mutex // guards probes
@@ -62,7 +72,7 @@
 	ended    boottime.Instant
 }
 
-func newCrashProber(probe func(string) crashVerdict, report func(catalog.Upstream, crashVerdict, []brokenRequest)) *crashProber {
+func newCrashProber(probe func(catalog.Upstream) crashVerdict, report func(catalog.Upstream, crashVerdict, []brokenRequest)) *crashProber {
 	return &crashProber{probe: probe, report: report, probes: map[crashguard.Process]*crashProbe{}}
 }
 
@@ -102,7 +112,7 @@
 	verdict := verdictUnknown
 	for _, delay := range crashProbeDelays {
 		time.Sleep(delay)
-		if verdict = c.probe(p.upstream.Address); verdict != verdictUnknown {
+		if verdict = c.probe(p.upstream); verdict != verdictUnknown {
 			break
 		}
 	}
@@ -113,58 +123,36 @@
 	c.report(p.upstream, verdict, requests)
 }
 
+// maxControlProbes limits the other upstreams that a host connects to, to tell a process
+// that refuses connections from links that do.
+const maxControlProbes = 3
+
 // probeCrash connects to an upstream to see whether its process still listens.
-func (g *Gateway) probeCrash(address string) crashVerdict {
-	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
-	defer cancel()
-	conn, err := g.dialUpstream(ctx, "tcp", address)
+func (g *Gateway) probeCrash(upstream catalog.Upstream) crashVerdict {
+	err := g.tryConnect(upstream.Address)
 	switch {
 	case err == nil:
-		_ = conn.Close() // nothing was sent
 		return verdictRunning
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return verdictCrashed
-	default:
+	case !errors.Is(err, syscall.ECONNREFUSED):
 		return verdictUnknown
 	}
-}
-
-// reportCrash counts and logs the result of a probe, with a line for each request whose
-// connection ended.
-func (g *Gateway) reportCrash(upstream catalog.Upstream, verdict crashVerdict, requests []brokenRequest) {
-	for _, request := range requests {
-		g.metrics.countCrashVerdict(verdict)
-		if g.logLimiter.allow(false) {
-			_ = level.Info(g.logger).Log("event", "connection ended", "request", request.id, "fingerprint", request.fingerprint, "account", request.account,
-				"upstream", upstream.ID, "service", upstream.Service, "domain", upstream.FailureDomain, "verdict", string(verdict))
+	others := slices.DeleteFunc(slices.Clone(g.state.currentUpstreams()), func(u catalog.Upstream) bool { return u.Address == upstream.Address })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, other := range others[:min(len(others), maxControlProbes)] {
+		if g.tryConnect(other.Address) == nil {
+			return verdictCrashed
 		}
 	}
+	return verdictUnknown
 }
 
-// fingerprint returns the fingerprint of the request. It must be called before the
-// payload is released.
-func (x *exchange) fingerprint() crashguard.Fingerprint {
-	if x.identified {
-		return x.identity
-	}
-	body, whole := x.payload.Prefix()
-	x.identity = crashguard.NewFingerprint(crashguard.Identity{
-		Account: x.accountName(), Method: x.request.Method, Host: x.request.Host, Target: x.request.RequestURI, Body: body, Partial: !whole,
-	})
-	x.identified = true
-	return x.identity
-}
-
-// accountName returns the name of the client account, empty if there is none.
-func (x *exchange) accountName() string {
-	if x.account == nil {
-		return ""
+// tryConnect opens a connection to an upstream and closes it.
+func (g *Gateway) tryConnect(address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	conn, err := g.dialUpstream(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close() // nothing was sent
 	}
-	return x.account.Name
-}
-
-// connectionEnded finds out whether an upstream crashed whose connection ended before the
-// response was complete.
-func (x *exchange) connectionEnded(upstream catalog.Upstream) {
-	x.gateway.crashes.broken(upstream, brokenRequest{fingerprint: x.fingerprint(), account: x.accountName(), id: x.call.ID})
+	return err
 }
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -49,6 +49,9 @@
 		x.logRequest("answer cut", a.response.StatusCode, err.Error(), duration)
 		panic(http.ErrAbortHandler)
 	}
+	if err == nil && a.remainder != nil {
+		x.completed()
+	}
 	if x.relayedTo != "" {
 		x.logRequest("relayed request answered", a.response.StatusCode, "", duration, "peer", x.relayedTo)
 		return nil
@@ -123,6 +126,9 @@
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name, "service", x.service, "object", x.call.Object)
 	}
+	if x.crash.crashes != nil {
+		fields = append(fields, "fingerprint", x.crash.identity, "crashes", x.crash.crashes)
+	}
 	if x.lastPlacement != nil {
 		inputs := x.lastPlacement.Inputs()
 		fields = append(fields, "upstream", x.lastPlacement.Upstream.ID, "domain", x.lastPlacement.Upstream.FailureDomain,
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,7 +9,6 @@
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
-	"peridotrail/internal/crashguard"
 	"peridotrail/internal/entry/forward"
 	"peridotrail/internal/placement"
 	"peridotrail/internal/problem"
@@ -42,8 +41,7 @@
 	responseStarted bool   // part of a response may have been sent
 	lastResult      string // result of the last attempt, for the log
 
-	identity   crashguard.Fingerprint // see fingerprint
-	identified bool                   // identity is set
+	crash crashPhase
 
 	unreachable bool           // this host can't reach any upstream of the service, as of the last placement
 	relayedBy   string         // name of the host from which this host has the request, empty if from the caller
@@ -70,6 +68,7 @@
 	rejection := x.prepare()
 	if x.payload != nil {
 		defer x.payload.Release()
+		defer x.settled()
 	}
 	if rejection == nil {
 		rejection = x.dispatch(w)
@@ -217,6 +216,8 @@
 		}
 		detail := ""
 		switch {
+		case !x.mayRetryAfterCrash(attempt):
+			detail = "an upstream crashed while it ran this request before"
 		case x.attempts >= x.route.MaxAttempts:
 			detail = "no upstream answered"
 		case !x.gateway.limits.takeRetry(x.service, boottime.Now()):
@@ -239,6 +240,10 @@
 // can't reach the upstreams. It returns the problem to respond with if neither is
 // possible.
 func (x *exchange) attempt(ctx context.Context) (attemptOutcome, *problem.Problem) {
+	if rejection := x.checkCrashes(); rejection != nil {
+		x.refundToken()
+		return attemptOutcome{}, rejection
+	}
 	if cutOff, _ := x.gateway.links.CutOff(); cutOff {
 		if relayed, ok := x.relay(ctx); ok {
 			return relayed, nil
@@ -253,6 +258,12 @@
 		}
 		return attemptOutcome{}, rejection
 	}
+	if x.crash.trial {
+		if rejection := x.claimTrial(ctx); rejection != nil {
+			x.withdraw(placed)
+			return attemptOutcome{}, rejection
+		}
+	}
 	attempt := x.send(ctx, placed)
 	x.gateway.metrics.countAttempt(string(attempt.result))
 	return attempt, nil
@@ -322,6 +333,13 @@
 	return x.lastPlacement, nil
 }
 
+// withdraw ends a placement whose request is not sent.
+func (x *exchange) withdraw(placed *placement.Placement) {
+	placed.Done(placement.Report{Outcome: placement.OutcomeCancelled}, boottime.Now())
+	x.attempts--
+	x.refundToken()
+}
+
 // placementFailed returns the problem for a request that no upstream could be
 // chosen for.
 func (x *exchange) placementFailed(err error) *problem.Problem {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -76,6 +76,12 @@
 	metrics.GetOrRegisterCounter("connection.ended."+string(verdict), m.registry).Inc(1)
 }
 
+// countFatalRequest counts a request under which upstreams have crashed: refused, sent as a
+// trial, or omitted from the records because its client account has too many.
+func (m *requestMetrics) countFatalRequest(what string) {
+	metrics.GetOrRegisterCounter("fatal.request."+what, m.registry).Inc(1)
+}
+
 // countPanic counts a request whose handler panicked.
 func (m *requestMetrics) countPanic() {
 	metrics.GetOrRegisterCounter("request.panics", m.registry).Inc(1)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -86,6 +86,7 @@
 	}
 	tasks.Go(func() { g.probeLinks(taskCtx) })
 	tasks.Go(func() { g.logLimiter.run(taskCtx) })
+	tasks.Go(func() { g.recordCrashes(taskCtx) })
 	tasks.Go(func() { g.register(registrationCtx) })
 	tasks.Go(func() { g.claimShares(registrationCtx) })
 	tasks.Go(func() { g.recordLimits(registrationCtx) })
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -89,6 +89,9 @@
 		return attemptOutcome{result: resultUnknown}
 	}
 	placed.Done(x.responseReport(response.StatusCode, reply, len(a.body)), boottime.Now())
+	if a.remainder == nil {
+		x.completed()
+	}
 	return a
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -13,6 +13,7 @@
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
+	"peridotrail/internal/crashguard"
 	"peridotrail/internal/kvstore"
 	"peridotrail/internal/leasedshare"
 	"peridotrail/internal/placement"
@@ -31,6 +32,7 @@
 	pool     *placement.Pool
 	limits   *limits
 	shares   *leasedshare.Holder
+	crashes  *crashguard.Table
 	// onUpstreams is called with all known upstreams after each change.
 	onUpstreams func([]catalog.Upstream)
 	// onHosts is called with all known hosts after each change. It is guarded by mu.
@@ -57,6 +59,7 @@
 		clock:       clock,
 		limits:      limits,
 		shares:      limits.shares,
+		crashes:     crashguard.NewTable(settings.get().Host),
 		upstreams:   catalog.NewSet[catalog.Upstream](),
 		hostMembers: catalog.NewSet[catalog.Host](),
 		evacuated:   map[string]bool{},
@@ -104,6 +107,16 @@
 // currentUpstreams returns the registered upstreams. The caller must not modify the slice.
 func (s *state) currentUpstreams() []catalog.Upstream { return *s.upstreamList.Load() }
 
+// leaving reports whether an upstream drains or is not registered any more.
+func (s *state) leaving(id string) bool {
+	for _, u := range s.currentUpstreams() {
+		if u.ID == id {
+			return u.Draining
+		}
+	}
+	return true
+}
+
 // hostCounts returns how many hosts this host knows, in all and in its region.
 func (s *state) hostCounts() (all, region int) {
 	hosts := *s.hosts.Load()
@@ -133,6 +146,7 @@
 	if recovered {
 		s.outageEnded(now)
 	}
+	s.resetCrashes(entries, now) // before a policy is in force, from which on requests are served
 	presentUpstreams := make(map[string]bool, len(entries))
 	presentHosts := map[string]bool{}
 	s.evacuated = map[string]bool{}
@@ -160,6 +174,9 @@
 	for _, entry := range entries {
 		s.apply(entry, now)
 		s.shares.Apply(entry, now)
+		if strings.HasPrefix(entry.Key, crashguard.Prefix) {
+			s.applyCrash(entry, now)
+		}
 		if id, ok := strings.CutPrefix(entry.Key, limitPrefix); ok {
 			s.pool.SetStoredLimit(id, s.readLimit(id, entry), now)
 		}
