--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -167,6 +167,28 @@
 	x.logLimit("upstream named its limit", placed, limit, "named", reply.Limit.Rate, "invalid", reply.Limit.Invalid)
 }
 
+// recordAnnouncements counts and logs that an upstream asked this host for a rest or said
+// that it leaves.
+func (x *exchange) recordAnnouncements(placed *placement.Placement, reply Reply) {
+	if reply.Rest.Duration > 0 || reply.Rest.Invalid {
+		x.gateway.metrics.countRest(reply.Rest.Invalid)
+		x.logAnnouncement("upstream asked for rest", placed, "rest_ms", reply.Rest.Duration.Milliseconds(), "invalid", reply.Rest.Invalid)
+	}
+	if reply.Leaving {
+		x.gateway.metrics.countLeaving()
+		x.logAnnouncement("upstream says it leaves", placed)
+	}
+}
+
+// logAnnouncement writes one line about what an upstream said in a response to this host.
+func (x *exchange) logAnnouncement(event string, placed *placement.Placement, extra ...any) {
+	if !x.gateway.logLimiter.allow(false) {
+		return
+	}
+	fields := []any{"event", event, "request", x.call.ID, "upstream", placed.Upstream.ID, "service", x.service, "domain", placed.Upstream.FailureDomain}
+	_ = level.Info(x.gateway.logger).Log(append(fields, extra...)...)
+}
+
 // logLimitedRequest writes one line about a request that is sent to an upstream with a
 // request limit.
 func (x *exchange) logLimitedRequest(placed *placement.Placement) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -59,6 +59,21 @@
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
 }
 
+// countRest counts a response that asked this host for a rest. invalid tells whether a value
+// could not be used as it is.
+func (m *requestMetrics) countRest(invalid bool) {
+	name := "rest.asked"
+	if invalid {
+		name = "rest.invalid"
+	}
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+// countLeaving counts a response of an upstream that says that it leaves.
+func (m *requestMetrics) countLeaving() {
+	metrics.GetOrRegisterCounter("upstream.leaving", m.registry).Inc(1)
+}
+
 // countRelay counts a request that this host relayed, by its result, or received from
 // another host.
 func (m *requestMetrics) countRelay(result string) {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -61,6 +61,15 @@
 	Load          *placement.Load       // nil if not reported
 	ColdRemaining time.Duration         // how long the upstream stays cold, zero if it is warm
 	Limit         placement.LimitReport // request limit that the upstream names
+	Rest          RestReport            // time for which the upstream wants no requests from this host
+	Leaving       bool                  // the upstream's process will end soon and wants no new requests
+}
+
+// RestReport is what a response says about the time for which its upstream wants no requests
+// from this host.
+type RestReport struct {
+	Duration time.Duration // zero if it does not ask for a rest
+	Invalid  bool          // a value could not be used as it is
 }
 
 // Lookup is a caller's query for entry hosts.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -74,6 +74,7 @@
 	}
 	if !reply.Moved {
 		x.recordLimit(placed, reply, now)
+		x.recordAnnouncements(placed, reply)
 	}
 	if reply.NotRun || reply.Moved {
 		return x.finishNotRun(placed, response, reply)
