placement: send nothing to an upstream that asked this host for rest

What callers saw: while all upstreams of a service turned requests away, hosts went on trying them, and refused callers with 0.2 or 0.3 s until the next try.

Cause: no code read Retry-After of a response. A refusal lowered the upstream's success probability, which decides only while another upstream is better.

Change: a rest forbids the upstream to this host until its end, for whatever the host sends, and once more when a request has got its connection (forward.WithSendCheck): what was placed before is not written. If all rest, callers are refused at once with the end of the first rest and different times. Afterwards the requests grow from one over a second, and hosts begin at different instants. A rest counts as evidence of nothing else.

Why it works: all requests to upstreams pass Pool.Place and the check before the first byte; docs/design/announcements.md.

--- a/internal/entry/forward/transport_test.go
+++ b/internal/entry/forward/transport_test.go
@@ -240,3 +240,28 @@
 	require.ErrorIs(t, err, net.ErrClosed)
 	require.NoError(t, c.Close())
 }
+
+// A request that must not be sent any more was written to a connection that it had waited for.
+func TestSendCheckKeepsARequestFromBeingWritten(t *testing.T) {
+	for _, warm := range []bool{false, true} {
+		s := newFlakyServer(t)
+		transport := NewTransport(func() int { return 4 })
+		defer transport.CloseIdleConnections()
+		if warm {
+			sendAndReadAll(t, transport, s.request(t, "POST", "warm"))
+		}
+		heads := s.heads.Load()
+		forbidden := errors.New("forbidden")
+		r := s.request(t, "GET", "")
+		_, err := transport.RoundTrip(r.WithContext(WithSendCheck(r.Context(), func() error { return forbidden })))
+		var failure *Error
+		require.ErrorAs(t, err, &failure)
+		require.ErrorIs(t, err, forbidden)
+		require.Equal(t, problem.ExecutedNo, failure.Executed)
+		require.Equal(t, heads, s.heads.Load())
+
+		r = s.request(t, "GET", "")
+		sendAndReadAll(t, transport, r.WithContext(WithSendCheck(r.Context(), func() error { return nil })))
+		require.Equal(t, heads+1, s.heads.Load())
+	}
+}
--- a/internal/entry/forward/write_tracker.go
+++ b/internal/entry/forward/write_tracker.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -16,6 +17,19 @@
 	conn          *conn
 	writtenBefore int64 // bytes written on conn before the request
 	mayHaveSent   bool  // bytes of the request may have been written on a connection
+
+	check    func() error // see WithSendCheck; nil if there is none
+	cancel   context.CancelCauseFunc
+	withheld error // result of check that kept the request from being written
+}
+
+type sendCheckKey struct{}
+
+// WithSendCheck returns a context for a request that is written only if check returns nil
+// when the request has been assigned a connection. Otherwise the request fails with an
+// *Error that wraps the result of check, with ExecutedNo.
+func WithSendCheck(ctx context.Context, check func() error) context.Context {
+	return context.WithValue(ctx, sendCheckKey{}, check)
 }
 
 // gotConn is the httptrace hook for a connection that http.Transport chose for
@@ -25,6 +39,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.blockWritesLocked()
+	if t.withheld != nil {
+		_ = info.Conn.Close() // the request has been cancelled
+		return
+	}
 	invariant.Check(!t.mayHaveSent, invariant.AtMostOnce, "a request was moved to another connection after bytes were written")
 	if !ok {
 		t.mayHaveSent = true
@@ -32,11 +50,23 @@
 	}
 	t.conn = c
 	t.writtenBefore = c.written.Load()
+	if t.check == nil {
+		return
+	}
+	if err := t.check(); err != nil {
+		t.blockWritesLocked()
+		t.withheld = err
+		t.cancel(err)
+		_ = c.Close() // no other request may use the blocked connection
+	}
 }
 
 // blockWritesLocked blocks further writes on the current connection, whose write
 // goroutine may still be about to write. The caller holds t.mu.
 func (t *writeTracker) blockWritesLocked() {
+	if t.withheld != nil {
+		return // the connection was blocked before http.Transport could write
+	}
 	if t.conn != nil && t.conn.blockWrites() != t.writtenBefore {
 		t.mayHaveSent = true
 	}
@@ -65,8 +95,13 @@
 // *Error.
 func roundTrip(base *http.Transport, request *http.Request) (*http.Response, error) {
 	tracker := &writeTracker{}
+	ctx := request.Context()
+	if check, ok := ctx.Value(sendCheckKey{}).(func() error); ok {
+		tracker.check = check
+		ctx, tracker.cancel = context.WithCancelCause(ctx)
+	}
 	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
-	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
 	response, err := base.RoundTrip(preventResend(request))
 	if err != nil {
 		return nil, tracker.newError(request, err)
@@ -101,5 +136,11 @@
 	if t.connected() {
 		phase = PhaseSend
 	}
-	return &Error{Target: request.URL.Host, Phase: phase, Executed: t.executed(), Err: err}
+	executed := t.executed()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.withheld != nil && executed == problem.ExecutedNo {
+		err = t.withheld
+	}
+	return &Error{Target: request.URL.Host, Phase: phase, Executed: executed, Err: err}
 }
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -167,9 +167,12 @@
 	x.logLimit("upstream named its limit", placed, limit, "named", reply.Limit.Rate, "invalid", reply.Limit.Invalid)
 }
 
-// recordAnnouncements counts and logs that an upstream asked this host for a rest or said
-// that it leaves.
-func (x *exchange) recordAnnouncements(placed *placement.Placement, reply Reply) {
+// recordAnnouncements passes on to the placement that an upstream asked this host for a rest,
+// and counts and logs that or that it said that it leaves.
+func (x *exchange) recordAnnouncements(placed *placement.Placement, reply Reply, now boottime.Instant) {
+	if reply.Rest.Duration > 0 {
+		placed.Rest(reply.Rest.Duration, now)
+	}
 	if reply.Rest.Duration > 0 || reply.Rest.Invalid {
 		x.gateway.metrics.countRest(reply.Rest.Invalid)
 		x.logAnnouncement("upstream asked for rest", placed, "rest_ms", reply.Rest.Duration.Milliseconds(), "invalid", reply.Rest.Invalid)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -216,6 +216,8 @@
 		}
 		detail := ""
 		switch {
+		case attempt.result == resultWithheld:
+			continue // the upstream is among those tried, so another one is chosen
 		case !x.mayRetryAfterCrash(attempt):
 			detail = "an upstream crashed while it ran this request before"
 		case x.attempts >= x.route.MaxAttempts:
@@ -266,6 +268,9 @@
 	}
 	attempt := x.send(ctx, placed)
 	x.gateway.metrics.countAttempt(string(attempt.result))
+	if attempt.result == resultWithheld {
+		x.attempts--
+	}
 	return attempt, nil
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -28,6 +28,7 @@
 	resultNotRun    result = "not-run"   // the request was not sent, or the upstream did not run it
 	resultUnknown   result = "unknown"   // the upstream may have run the request
 	resultCancelled result = "cancelled" // the deadline passed or the caller closed the connection
+	resultWithheld  result = "withheld"  // the request was not sent: the upstream accepts none any more
 	resultTooLarge  result = "too-large" // the caller's body turned out larger than the limit while it was sent
 )
 
@@ -55,6 +56,7 @@
 			WroteRequest: func(httptrace.WroteRequestInfo) { placed.Sent(boottime.Now()) },
 		})
 	}
+	ctx = forward.WithSendCheck(ctx, func() error { return placed.CheckSend(boottime.Now()) })
 	x.gateway.links.Sent(placed.Upstream.ID, boottime.Now())
 	response, err := x.gateway.transports.forUpstream(placed.Upstream).RoundTrip(x.outboundRequest(ctx, placed))
 	if err != nil {
@@ -74,7 +76,7 @@
 	}
 	if !reply.Moved {
 		x.recordLimit(placed, reply, now)
-		x.recordAnnouncements(placed, reply)
+		x.recordAnnouncements(placed, reply, now)
 	}
 	if reply.NotRun || reply.Moved {
 		return x.finishNotRun(placed, response, reply)
@@ -138,8 +140,11 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBody)) // allows the connection to be reused
 	_ = response.Body.Close()
 	outcome := placement.OutcomeNotRun
-	if reply.Moved {
+	switch {
+	case reply.Moved:
 		outcome = placement.OutcomeMoved
+	case reply.Rest.Duration > 0:
+		outcome = placement.OutcomeRest
 	}
 	placed.Done(placement.Report{Outcome: outcome, Load: reply.Load}, boottime.Now())
 	return attemptOutcome{result: resultNotRun}
@@ -161,6 +166,11 @@
 		placed.Done(placement.Report{Outcome: placement.OutcomeCancelled}, now)
 		return attemptOutcome{result: resultTooLarge}
 	}
+	var withheld *placement.WithheldError
+	if errors.As(err, &withheld) {
+		placed.Done(placement.Report{Outcome: placement.OutcomeCancelled}, now)
+		return attemptOutcome{result: resultWithheld}
+	}
 	x.logFailedAttempt(placed, err)
 	var failure *forward.Error
 	isForwardError := errors.As(err, &failure)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -70,6 +70,7 @@
 	s.upstreamList.Store(&[]catalog.Upstream{})
 	initial := settings.get()
 	s.pool = placement.NewPool(placement.Settings{
+		Host:             initial.Host,
 		FailureDomain:    initial.FailureDomain,
 		Region:           initial.Region,
 		Regions:          initial.Regions,
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -62,6 +62,7 @@
 	OutcomeAnswered    Outcome = iota + 1 // the upstream sent a complete response, with any status
 	OutcomeFailed                         // the upstream failed, or its response was cut off
 	OutcomeNotRun                         // the upstream rejected the request without running it
+	OutcomeRest                           // like OutcomeNotRun, and the upstream asked for rest; see Placement.Rest
 	OutcomeMoved                          // the address now belongs to another upstream
 	OutcomeCancelled                      // the caller closed the request
 	OutcomeExpired                        // the deadline passed
@@ -106,7 +107,7 @@
 		p.service.rebuildIndex(pool.evacuated, pool.settings.FailureDomain)
 	case OutcomeExpired:
 		p.learnFromExpiry(now)
-	case OutcomeCancelled:
+	case OutcomeCancelled, OutcomeRest:
 	}
 	if report.Load != nil {
 		u.recordLoad(*report.Load, now)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -24,6 +24,7 @@
 // Settings of a Pool. Scores and costs are relative to the score of a response on
 // time, which is 1.
 type Settings struct {
+	Host            string // name of this host
 	FailureDomain   string
 	Region          string
 	Regions         map[string]string // region of each failure domain
@@ -59,10 +60,12 @@
 	estimates     map[string]*routeEstimate
 	evacuated     map[string]bool // failure domains that get no requests
 	shift         shiftLimiter
-	peerReports   map[string]peerReport    // by host
-	limits        map[string]*requestLimit // by upstream ID, also of upstreams that are absent for the moment
-	limitRefusals int                      // requests refused because of a limit
-	scratch       []*upstream              // candidates of the current placement
+	peerReports   map[string]peerReport     // by host
+	limits        map[string]*requestLimit  // by upstream ID, also of upstreams that are absent for the moment
+	limitRefusals int                       // requests refused because of a limit
+	announcements map[string]*announcements // by upstream ID, also of upstreams that are absent for the moment
+	restRefusals  int                       // requests refused because upstreams rest
+	scratch       []*upstream               // candidates of the current placement
 }
 
 // NewPool returns a pool without upstreams.
@@ -75,7 +78,9 @@
 		estimates:   map[string]*routeEstimate{},
 		peerReports: map[string]peerReport{},
 		limits:      map[string]*requestLimit{},
-		shift:       shiftLimiter{maxGrowth: settings.MaxShift},
+
+		announcements: map[string]*announcements{},
+		shift:         shiftLimiter{maxGrowth: settings.MaxShift},
 	}
 }
 
@@ -95,7 +100,7 @@
 		known := p.upstreams[entry.ID]
 		u := known
 		if known == nil || known.Address != entry.Address || known.Service != entry.Service || known.Incarnation != entry.Incarnation {
-			u = newUpstream(entry, p.settings.Regions[entry.FailureDomain], p.sendCount(entry.ID), p.limitRecord(entry.ID, entry.Incarnation, now))
+			u = newUpstream(entry, p.settings.Regions[entry.FailureDomain], p.sendCount(entry.ID), p.limitRecord(entry.ID, entry.Incarnation, now), p.announcementsOf(entry.ID, entry.Incarnation))
 			u.ColdUntil = 0
 		}
 		u.Draining = entry.Draining
@@ -110,6 +115,7 @@
 	}
 	p.upstreams = present
 	p.pruneLimits(now)
+	p.pruneAnnouncements(now)
 	maps.DeleteFunc(p.sendCounts, func(id string, c *sendCount) bool { return present[id] == nil && c.idle(now) })
 	for _, s := range p.services {
 		slices.SortFunc(s.all, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
@@ -213,6 +219,9 @@
 	refusal := RefusedError{Service: request.Service, Reason: ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter}
 	e := p.routeEstimate(request)
 	p.scratch = s.candidates(p.scratch[:0], preferred, object)
+	if len(p.scratch) < len(s.usable) && allResting(p.scratch, now) {
+		p.scratch = append(p.scratch[:0], s.usable...)
+	}
 	shiftAllowed := p.shift.allows(now)
 	local := p.hasLocal(request)
 	var best candidate
@@ -224,6 +233,10 @@
 		if u.consecutiveUnreachable > 0 || p.restartAssumed(u) {
 			refusal.Unreachable++
 		}
+		if until, resting := u.resting(now); resting {
+			updateRefusal(&refusal, ReasonRest, p.restRetryAfter(until, now))
+			continue
+		}
 		if u.region != p.settings.Region && local && !shiftAllowed {
 			updateRefusal(&refusal, ReasonShift, minRetryAfter)
 			continue
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -61,6 +61,7 @@
 	successUpdatedAt       boottime.Instant
 	sends                  *sendCount
 	limit                  *requestLimit
+	announced              *announcements
 	limitedUntil           boottime.Instant // see Pool.isLimited
 	reportedColdUntil      boottime.Instant // end of the cold start by its entry and its responses
 	warmIfCurrentAt        boottime.Instant // see Pool.isLimited, zero if it was never assumed to restart
@@ -69,11 +70,11 @@
 	consecutiveUnreachable int // connections in a row that could not be opened
 }
 
-func newUpstream(entry catalog.Upstream, region string, sends *sendCount, limit *requestLimit) *upstream {
+func newUpstream(entry catalog.Upstream, region string, sends *sendCount, limit *requestLimit, announced *announcements) *upstream {
 	return &upstream{
 		Upstream: entry, region: region, slots: max(entry.Slots, 1),
 		slowdown: 1, successProbability: 1,
-		sends: sends, limit: limit,
+		sends: sends, limit: limit, announced: announced,
 	}
 }
 
