placement: send nothing to an upstream that says in its responses that it leaves

What callers saw: requests to an upstream whose process was about to end, at its end cut off, as long as its entry in the store still said ready, and for as long as the host had no store.

Cause: no code read Server-Leaving; only the entry took an upstream out of use.

Change: the first response that says so makes the process drain for this host, until a new incarnation; requests that were placed but not written are placed again. A host that relayed a request learns of which process the response was (Peridotrail-Upstream). Connections that such a process ends are no crashes.

Why it works: a draining upstream is not eligible for placement, and the mark belongs to the process and not to the entry, which may vanish and return (docs/design/ announcements.md).

--- a/internal/gateway/crash_guard.go
+++ b/internal/gateway/crash_guard.go
@@ -114,7 +114,7 @@
 // connectionEnded finds out whether an upstream crashed whose connection ended before the
 // response was complete. Upstreams that leave end connections too.
 func (x *exchange) connectionEnded(upstream catalog.Upstream) {
-	if x.gateway.state.leaving(upstream.ID) {
+	if x.gateway.state.pool.Leaving(upstream.ID) {
 		return
 	}
 	if x.crash.progress == nil {
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -27,6 +27,7 @@
 	}
 	if x.relayedBy != "" {
 		delete(header, problem.ExecutedHeader) // it marks refusals of this host
+		header.Set(upstreamHeader, formatUpstream(x.lastPlacement.Upstream))
 	}
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // prevents net/http from sniffing the type
@@ -167,8 +168,8 @@
 	x.logLimit("upstream named its limit", placed, limit, "named", reply.Limit.Rate, "invalid", reply.Limit.Invalid)
 }
 
-// recordAnnouncements passes on to the placement that an upstream asked this host for a rest,
-// and counts and logs that or that it said that it leaves.
+// recordAnnouncements passes on to the placement that an upstream asked this host for rest or
+// said that it leaves, and counts and logs it.
 func (x *exchange) recordAnnouncements(placed *placement.Placement, reply Reply, now boottime.Instant) {
 	if reply.Rest.Duration > 0 {
 		placed.Rest(reply.Rest.Duration, now)
@@ -178,6 +179,7 @@
 		x.logAnnouncement("upstream asked for rest", placed, "rest_ms", reply.Rest.Duration.Milliseconds(), "invalid", reply.Rest.Invalid)
 	}
 	if reply.Leaving {
+		placed.Leave()
 		x.gateway.metrics.countLeaving()
 		x.logAnnouncement("upstream says it leaves", placed)
 	}
--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -4,12 +4,14 @@
 	"context"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/boottime"
+	"peridotrail/internal/catalog"
 	"peridotrail/internal/fleet/relay"
 	"peridotrail/internal/problem"
 	"peridotrail/internal/routing"
@@ -94,6 +96,9 @@
 		return attemptOutcome{result: resultUnknown}, false, refusal.Detail
 	}
 	reply := x.gateway.dialect.ReadReply(response)
+	if id, incarnation, ok := takeUpstreamHeader(response.Header); ok && reply.Leaving {
+		x.gateway.state.pool.SetLeaving(id, incarnation)
+	}
 	if response.StatusCode < http.StatusBadRequest && !reply.Signed {
 		_ = response.Body.Close() // it is not used
 		return attemptOutcome{result: resultUnknown}, true, "a success without the signature of an upstream"
@@ -109,6 +114,25 @@
 	}
 }
 
+// upstreamHeader is the header in which a host tells the one from which it has a request
+// which process of an upstream responded: ID and incarnation, separated by a space. Hosts of
+// earlier builds neither send nor read it.
+const upstreamHeader = "Peridotrail-Upstream"
+
+func formatUpstream(u catalog.Upstream) string {
+	return u.ID + " " + strconv.FormatInt(u.Incarnation, 10)
+}
+
+// takeUpstreamHeader removes upstreamHeader and returns its value. ok is false if there is
+// none or it can't be read.
+func takeUpstreamHeader(header http.Header) (id string, incarnation int64, ok bool) {
+	value := header.Get(upstreamHeader)
+	header.Del(upstreamHeader)
+	id, text, ok := strings.Cut(value, " ")
+	incarnation, err := strconv.ParseInt(text, 10, 64)
+	return id, incarnation, ok && err == nil
+}
+
 // relayedRequest returns the request as another host receives it, with the headers of
 // the caller.
 func (x *exchange) relayedRequest(ctx context.Context) *http.Request {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -108,16 +108,6 @@
 // currentUpstreams returns the registered upstreams. The caller must not modify the slice.
 func (s *state) currentUpstreams() []catalog.Upstream { return *s.upstreamList.Load() }
 
-// leaving reports whether an upstream drains or is not registered any more.
-func (s *state) leaving(id string) bool {
-	for _, u := range s.currentUpstreams() {
-		if u.ID == id {
-			return u.Draining
-		}
-	}
-	return true
-}
-
 // hostCounts returns how many hosts this host knows, in all and in its region.
 func (s *state) hostCounts() (all, region int) {
 	hosts := *s.hosts.Load()
--- a/internal/placement/announcement.go
+++ b/internal/placement/announcement.go
@@ -27,6 +27,7 @@
 	incarnation int64
 	restUntil   boottime.Instant // this host sends nothing before, zero if it was never asked for rest
 	resumesAt   boottime.Instant // this host places requests there from then on
+	leaving     bool             // the process will end soon
 	goneSince   boottime.Instant // since when the upstream has no entry, zero while it has one
 }
 
@@ -69,6 +70,34 @@
 	a.restUntil, a.resumesAt = until, until.Add(time.Duration(spread))
 }
 
+// Leave records that the upstream's process will end soon. From then on it is treated like
+// one whose entry says that it drains.
+func (p *Placement) Leave() { p.pool.SetLeaving(p.Upstream.ID, p.Upstream.Incarnation) }
+
+// SetLeaving is Placement.Leave for the process of an upstream that another host has used.
+func (p *Pool) SetLeaving(id string, incarnation int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.announcements[id]
+	if a == nil || a.incarnation != incarnation {
+		return // the process has ended, or its entry is not known yet
+	}
+	a.leaving = true
+	if u := p.upstreams[id]; u != nil && !u.Draining {
+		u.Draining = true
+		p.service(u.Service).rebuildIndex(p.evacuated, p.settings.FailureDomain)
+	}
+}
+
+// Leaving reports whether an upstream drains, as its entry or its responses say, or is not
+// registered.
+func (p *Pool) Leaving(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.upstreams[id]
+	return u == nil || u.Draining
+}
+
 // WithheldError reports that a request was placed at an upstream but must not be sent to it.
 type WithheldError struct {
 	Upstream string // ID
@@ -81,7 +110,7 @@
 }
 
 // CheckSend returns a *WithheldError if the request must not be sent any more: the upstream
-// has asked for rest since it was placed.
+// has asked for rest since it was placed, or has said that it leaves.
 func (p *Placement) CheckSend(now boottime.Instant) error {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
@@ -89,6 +118,9 @@
 	if now.Before(u.announced.restUntil) {
 		return &WithheldError{Upstream: u.ID, Reason: ReasonRest}
 	}
+	if u.announced.leaving {
+		return &WithheldError{Upstream: u.ID, Reason: ReasonLeaving}
+	}
 	return nil
 }
 
--- a/internal/placement/announcement_test.go
+++ b/internal/placement/announcement_test.go
@@ -162,3 +162,38 @@
 		require.Equal(t, "u-42", placed.Upstream.ID)
 	}
 }
+
+func TestLeavingUpstreamGetsNothingUntilItsProcessHasEnded(t *testing.T) {
+	p := poolOf(nil, entry("u", "a1"), entry("v", "a1"))
+	placedAt := func(id string) Placement {
+		for {
+			placed, err := p.Place(requestAt(t0), t0)
+			require.NoError(t, err)
+			if placed.Upstream.ID == id {
+				return placed
+			}
+			placed.Done(Report{Outcome: OutcomeFailed}, t0)
+		}
+	}
+	first, second := placedAt("u"), placedAt("u")
+	first.Leave()
+	var withheld *WithheldError
+	require.ErrorAs(t, second.CheckSend(t0), &withheld)
+	require.Equal(t, ReasonLeaving, withheld.Reason)
+	require.True(t, p.Leaving("u"))
+	counts, _ := placeMany(p, 40, t0)
+	require.Zero(t, counts["u"])
+
+	p.SetUpstreams([]catalog.Upstream{entry("v", "a1")}, nil, t0)
+	p.SetUpstreams([]catalog.Upstream{entry("u", "a1"), entry("v", "a1")}, nil, t0.Add(time.Second))
+	counts, _ = placeMany(p, 40, t0.Add(5*time.Second))
+	require.Zero(t, counts["u"], "its entry came back")
+
+	again := entry("u", "a1")
+	again.Incarnation++
+	p.SetUpstreams([]catalog.Upstream{again, entry("v", "a1")}, nil, t0.Add(6*time.Second))
+	counts, _ = placeMany(p, 40, t0.Add(10*time.Second))
+	require.NotZero(t, counts["u"])
+	second.Leave()
+	require.False(t, p.Leaving("u"), "an earlier process said so")
+}
--- a/internal/placement/errors.go
+++ b/internal/placement/errors.go
@@ -16,6 +16,7 @@
 	ReasonCold       Reason = "cold"        // the cold upstreams have reached their request rate limit
 	ReasonLimit      Reason = "limit"       // this host may send no more requests to upstreams with a request limit
 	ReasonRest       Reason = "rest"        // the upstreams have asked this host to send nothing for a while
+	ReasonLeaving    Reason = "leaving"     // the upstream said that its process ends
 	ReasonShift      Reason = "shift"       // only other regions have capacity, and the shift limit is reached
 )
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -103,7 +103,7 @@
 			u = newUpstream(entry, p.settings.Regions[entry.FailureDomain], p.sendCount(entry.ID), p.limitRecord(entry.ID, entry.Incarnation, now), p.announcementsOf(entry.ID, entry.Incarnation))
 			u.ColdUntil = 0
 		}
-		u.Draining = entry.Draining
+		u.Draining = entry.Draining || u.announced.leaving
 		u.reportedColdUntil = max(u.reportedColdUntil, entry.ColdUntil)
 		u.extendColdStart(entry.ColdUntil, known != nil, now)
 		if wasEvacuated[entry.FailureDomain] && !evacuated[entry.FailureDomain] {
