--- a/internal/crashguard/entry.go
+++ b/internal/crashguard/entry.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"peridotrail/internal/kvstore"
 )
@@ -81,6 +82,24 @@
 	return slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.Trial })
 }
 
+// trialDelay returns the time from the last change of an entry to the next trial.
+func (e Entry) trialDelay() time.Duration {
+	delay, doublings := firstQuarantine, e.Trials
+	if !e.guilty() {
+		if e.Trials == 0 {
+			return 0
+		}
+		delay, doublings = trialTime, e.Trials-1
+		if len(e.Crashes) > suspectCrashes {
+			delay = unresolvedDelay
+		}
+	}
+	for ; doublings > 0 && delay < maxQuarantine; doublings-- {
+		delay *= 2
+	}
+	return min(delay, maxQuarantine)
+}
+
 // mergeCrashes adds those crashes to all that are of other processes.
 func mergeCrashes(all, added []Crash) []Crash {
 	all = slices.Clone(all)
--- a/internal/crashguard/table.go
+++ b/internal/crashguard/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
@@ -90,26 +89,6 @@
 	omitted     int // crashes not recorded because the account has too many records
 }
 
-// record is what a host knows about one request.
-type record struct {
-	account  string // digest
-	stored   Entry
-	revision kvstore.Revision // of stored; zero if the store has no entry
-	readAt   boottime.Instant // when this process learned of the revision
-
-	found    []foundCrash // crashes that this host saw and the store does not list yet
-	refuted  []Process    // crashes that complete responses showed to have other causes
-	claiming bool         // a claim is being written
-	retryAt  boottime.Instant
-}
-
-// foundCrash is a crash that this host saw.
-type foundCrash struct {
-	Crash
-	at  boottime.Instant
-	due boottime.Instant // when it is to be written
-}
-
 // NewTable returns the empty table of a host.
 func NewTable(host string) *Table {
 	return &Table{host: host, records: map[Fingerprint]*record{}, perAccount: map[string]int{}}
@@ -130,15 +109,6 @@
 	return len(t.records), t.omitted
 }
 
-// crashes returns the known crashes of a request.
-func (r *record) crashes() []Crash {
-	all := slices.DeleteFunc(slices.Clone(r.stored.Crashes), func(c Crash) bool { return slices.Contains(r.refuted, c.Process) })
-	for _, f := range r.found {
-		all = mergeCrashes(all, []Crash{f.Crash})
-	}
-	return all
-}
-
 // unexplained returns the known crashes of a request without those that a guilty request
 // caused which the same processes ran. The caller holds mu.
 func (t *Table) unexplained(r *record) []Crash {
@@ -157,24 +127,6 @@
 	return crashes
 }
 
-// trialDelay returns the time from the last change of an entry to the next trial.
-func (e Entry) trialDelay() time.Duration {
-	delay, doublings := firstQuarantine, e.Trials
-	if !e.guilty() {
-		if e.Trials == 0 {
-			return 0
-		}
-		delay, doublings = trialTime, e.Trials-1
-		if len(e.Crashes) > suspectCrashes {
-			delay = unresolvedDelay
-		}
-	}
-	for ; doublings > 0 && delay < maxQuarantine; doublings-- {
-		delay *= 2
-	}
-	return min(delay, maxQuarantine)
-}
-
 // Admit decides whether a request may be sent now.
 func (t *Table) Admit(f Fingerprint, now boottime.Instant) Decision {
 	t.mu.Lock()
@@ -367,146 +319,3 @@
 	r.store(decoded, entry.Revision, now)
 	return err
 }
-
-// clear records that the store has no entry.
-func (r *record) clear() { r.stored, r.revision, r.refuted = Entry{}, 0, nil }
-
-// store records the entry that the store has.
-func (r *record) store(entry Entry, revision kvstore.Revision, now boottime.Instant) {
-	r.stored, r.revision, r.readAt = entry, revision, now
-	r.refuted = slices.DeleteFunc(r.refuted, func(p Process) bool {
-		return !slices.ContainsFunc(entry.Crashes, func(c Crash) bool { return c.Process == p })
-	})
-	r.found = slices.DeleteFunc(r.found, func(f foundCrash) bool { return lists(entry.Crashes, f.Crash) })
-}
-
-// lists reports whether a crash adds nothing to the crashes of a record.
-func lists(all []Crash, crash Crash) bool {
-	i := slices.IndexFunc(all, func(c Crash) bool { return c.Process == crash.Process })
-	if i < 0 {
-		return len(all) >= maxCrashes && !crash.Trial
-	}
-	return all[i].Trial || !crash.Trial
-}
-
-// Writes returns the writes that this host should make now: crashes that it saw, and
-// deletions of records that are harmless, expired or too many. Finish must be called with
-// the result of each.
-func (t *Table) Writes(now boottime.Instant) []Write {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var expired map[Fingerprint]bool
-	if !now.Before(t.nextCleanup) {
-		t.nextCleanup = now.Add(cleanupInterval)
-		expired = t.expired(now)
-	}
-	var due []Write
-	for f, r := range t.records {
-		if len(due) == maxWrites {
-			break
-		}
-		if now.Before(r.retryAt) || r.claiming {
-			continue
-		}
-		write, err := t.dueWrite(f, r, expired[f], now)
-		if err != nil || write.Key == "" {
-			continue
-		}
-		r.retryAt = now.Add(writeRetryDelay)
-		due = append(due, write)
-	}
-	return due
-}
-
-// dueWrite returns the write of a record, without a key if none is due. The caller holds mu.
-func (t *Table) dueWrite(f Fingerprint, r *record, expired bool, now boottime.Instant) (Write, error) {
-	isDue := slices.ContainsFunc(r.found, func(c foundCrash) bool { return !now.Before(c.due) })
-	crashes := r.crashes()
-	switch {
-	case r.revision != 0 && (len(crashes) == 0 || expired && !isDue):
-		return Write{Fingerprint: f, Write: kvstore.Write{Key: entryKey(r.account, f), Expected: r.revision, Delete: true}}, nil
-	case isDue || len(r.refuted) > 0:
-		entry := Entry{Crashes: crashes, Trials: r.stored.Trials}
-		if entry.guilty() != r.stored.guilty() {
-			entry.Trials = 0
-		}
-		return t.newWrite(f, r, entry)
-	default:
-		return Write{}, nil
-	}
-}
-
-// expired returns the records to delete: those whose time is over, and those beyond the
-// number for their account. The caller holds mu.
-func (t *Table) expired(now boottime.Instant) map[Fingerprint]bool {
-	over := map[Fingerprint]bool{}
-	surplus := map[string][]Fingerprint{}
-	for f, r := range t.records {
-		if r.revision == 0 {
-			continue
-		}
-		delay := t.deletionDelay(f)
-		if now.Sub(r.readAt) > r.stored.trialDelay()+forgetTime+delay {
-			over[f] = true
-		}
-		if t.perAccount[r.account] > maxPerAccount {
-			surplus[r.account] = append(surplus[r.account], f)
-		}
-	}
-	for account, all := range surplus {
-		slices.SortFunc(all, func(a, b Fingerprint) int { return t.records[a].compare(t.records[b]) })
-		for _, f := range all[:min(len(all), t.perAccount[account]-maxPerAccount)] {
-			if now.Sub(t.records[f].readAt) > surplusAge+t.deletionDelay(f)/10 {
-				over[f] = true
-			}
-		}
-	}
-	return over
-}
-
-// compare orders records by how much they are worth keeping: those with few crashes first,
-// and the oldest of them.
-func (r *record) compare(other *record) int {
-	if n := len(r.stored.Crashes) - len(other.stored.Crashes); n != 0 {
-		return n
-	}
-	return int(int64(r.revision) - int64(other.revision))
-}
-
-// deletionDelay returns this host's delay before it deletes a record that is over.
-func (t *Table) deletionDelay(f Fingerprint) time.Duration {
-	digest := fnv.New64a()
-	_, _ = digest.Write(f[:]) // a hash returns no error
-	_, _ = digest.Write([]byte(t.host))
-	return time.Duration(digest.Sum64() % uint64(maxDeletionDelay))
-}
-
-// Finish records the result of a write. A write whose outcome is not known is made again;
-// its condition keeps it from taking effect twice. It reports whether the write is known to
-// have succeeded: only then a claim permits a trial.
-func (t *Table) Finish(write Write, revision kvstore.Revision, err error, now boottime.Instant) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.records[write.Fingerprint]
-	if r == nil {
-		return err == nil
-	}
-	if write.claim {
-		r.claiming = false
-	}
-	switch {
-	case err != nil:
-		return false
-	case write.Delete:
-		if r.revision != write.Expected {
-			return true // the record has changed since
-		}
-		r.clear()
-		if len(r.found) == 0 {
-			t.remove(write.Fingerprint)
-		}
-	case revision > r.revision:
-		r.store(write.entry, revision, now)
-	}
-	return true
-}
--- a/internal/gateway/crash_guard.go
+++ b/internal/gateway/crash_guard.go
@@ -161,26 +161,19 @@
 
 // recordCrashes writes crash records to the store until ctx ends.
 func (g *Gateway) recordCrashes(ctx context.Context) {
-	ticker := time.NewTicker(crashRecordInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, crashRecordInterval, func() {
 		if g.state.crashes.Empty() {
-			continue
+			return
 		}
 		for _, write := range g.state.crashes.Writes(boottime.Now()) {
 			call, cancel := context.WithTimeout(ctx, crashCallTimeout)
 			err := g.writeCrashRecord(call, write)
 			cancel()
 			if err != nil && !kvstore.IsKind(err, kvstore.KindConflict) {
-				break // the store is out of reach; the others are due again
+				return // the store is out of reach; the others are due again
 			}
 		}
-	}
+	})
 }
 
 // writeCrashRecord makes one write of a crash record.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,14 +129,19 @@
 // expireAbsent removes members whose entries stay absent after an outage of the
 // store, until ctx ends.
 func (g *Gateway) expireAbsent(ctx context.Context) {
-	ticker := time.NewTicker(absenceCheckInterval)
+	every(ctx, absenceCheckInterval, g.state.expireAbsent)
+}
+
+// every calls f after each interval until ctx ends. It skips calls that are due while f runs.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			g.state.expireAbsent()
+			f()
 		}
 	}
 }
@@ -172,17 +177,10 @@
 // claimShares claims and gives up shares of the limits of cold upstreams until ctx
 // ends.
 func (g *Gateway) claimShares(ctx context.Context) {
-	ticker := time.NewTicker(shareInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, shareInterval, func() {
 		transaction, due := g.state.shares.Next(boottime.Now())
 		if !due {
-			continue
+			return
 		}
 		call, cancel := context.WithTimeout(ctx, shareCallTimeout)
 		revision, err := g.store.Commit(call, transaction.Writes)
@@ -190,11 +188,11 @@
 		g.state.shares.Finish(transaction, err, boottime.Now())
 		if err != nil {
 			_ = level.Warn(g.logger).Log("event", "shares not changed", "writes", len(transaction.Writes), "err", err)
-			continue
+			return
 		}
 		claimed, removed := transaction.Counts()
 		_ = level.Info(g.logger).Log("event", "shares changed", "claimed", claimed, "removed", removed, "revision", revision)
-	}
+	})
 }
 
 // keysCurrent reports whether the last proof that the keys are current is recent
--- a/internal/gateway/request_limits.go
+++ b/internal/gateway/request_limits.go
@@ -139,14 +139,7 @@
 
 // recordLimits records changes of limits in the store until ctx ends.
 func (g *Gateway) recordLimits(ctx context.Context) {
-	ticker := time.NewTicker(limitRecordInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, limitRecordInterval, func() {
 		for _, write := range g.state.limitWrites(boottime.Now()) {
 			call, cancel := context.WithTimeout(ctx, limitCallTimeout)
 			revision, err := g.store.Commit(call, []kvstore.Write{write})
@@ -157,5 +150,5 @@
 			}
 			_ = level.Info(g.logger).Log("event", "upstream limit recorded", "key", write.Key, "deleted", write.Delete, "entry", string(write.Value), "revision", revision)
 		}
-	}
+	})
 }
