placement: tests of rests use requests that could be served

Three mutations were not caught: a shorter rest that ends a longer one, a rest lost with the entry, no growth after a rest. The tests placed requests whose deadline had passed, so any refusal satisfied them. They now place requests that arrive at the instant in question and check the reason.

--- a/internal/placement/announcement_test.go
+++ b/internal/placement/announcement_test.go
@@ -67,15 +67,24 @@
 	second, err := p.Place(requestAt(t0), t0)
 	require.NoError(t, err)
 	first.Rest(4*time.Second, t0)
+	first.Done(Report{Outcome: OutcomeRest}, t0)
 	second.Rest(time.Second, t0.Add(time.Second))
-	require.Error(t, errorOf(p.Place(requestAt(t0), t0.Add(3*time.Second))))
+	second.Done(Report{Outcome: OutcomeRest}, t0.Add(time.Second))
+	require.Equal(t, ReasonRest, refusalAt(t, p, t0.Add(3*time.Second)))
+}
+
+// refusalAt returns why a request is refused that arrives at an instant.
+func refusalAt(t *testing.T, p *Pool, now boottime.Instant) Reason {
+	t.Helper()
+	_, err := p.Place(requestAt(now), now)
+	return refusalOf(t, err).Reason
 }
 
 func TestRestEndsWithTheProcess(t *testing.T) {
 	p := poolOf(nil, entry("u", "a1"))
 	askForRest(t, p, "u", time.Minute, t0)
 	p.SetUpstreams([]catalog.Upstream{entry("u", "a1")}, nil, t0)
-	require.Error(t, errorOf(p.Place(requestAt(t0), t0)))
+	require.Equal(t, ReasonRest, refusalAt(t, p, t0))
 	again := entry("u", "a1")
 	again.Incarnation++
 	p.SetUpstreams([]catalog.Upstream{again}, nil, t0)
@@ -88,7 +97,7 @@
 	askForRest(t, p, "u", 10*time.Second, t0)
 	p.SetUpstreams(nil, nil, t0.Add(time.Second))
 	p.SetUpstreams([]catalog.Upstream{entry("u", "a1")}, nil, t0.Add(2*time.Second))
-	require.Error(t, errorOf(p.Place(requestAt(t0), t0.Add(3*time.Second))))
+	require.Equal(t, ReasonRest, refusalAt(t, p, t0.Add(3*time.Second)))
 	p.SetUpstreams(nil, nil, t0.Add(4*time.Second))
 	p.SetUpstreams(nil, nil, t0.Add(4*time.Second+announcementCleanupDelay+time.Second))
 	require.Empty(t, p.announcements)
@@ -119,15 +128,15 @@
 func TestRequestsGrowSlowlyAfterARest(t *testing.T) {
 	p := poolOf(nil, entry("u", "a1"))
 	askForRest(t, p, "u", 2*time.Second, t0)
-	resumed := t0.Add(2*time.Second + restSpread)
-	placed := 0
-	for range 4 {
-		if errorOf(p.Place(requestAt(resumed), t0.Add(2*time.Second+restSpread/4))) == nil {
-			placed++
-		}
+	resumed := p.upstreams["u"].announced.resumesAt
+	require.NoError(t, errorOf(p.Place(requestAt(resumed), resumed)))
+	require.Equal(t, ReasonRest, refusalAt(t, p, resumed))
+	later := resumed.Add(restRamp / 2)
+	for range 2 {
+		require.NoError(t, errorOf(p.Place(requestAt(later), later)))
 	}
-	require.LessOrEqual(t, placed, 2)
-	require.NoError(t, errorOf(p.Place(requestAt(resumed), resumed.Add(restRamp))))
+	require.Equal(t, ReasonRest, refusalAt(t, p, later))
+	require.NoError(t, errorOf(p.Place(requestAt(resumed.Add(restRamp)), resumed.Add(restRamp))))
 }
 
 // Hosts return from rests that began together at different instants.
