crashguard: leave records alone that this build can't read

What would be seen: beside a later build that writes crash records in another form, hosts of this one deleted them within 0.1 s, and a quarantine of the later build ended.

Cause: a record that can't be decoded counted as one without crashes, and those are deleted as harmless.

Change: such a record is marked and stays until it expires, or until it can be read.

Measured: TestUnreadableRecordIsLeftAlone failed before and passes; FuzzApply 6 s without a failure.

--- a/internal/crashguard/record.go
+++ b/internal/crashguard/record.go
@@ -13,6 +13,7 @@
 	stored   Entry
 	revision kvstore.Revision // of stored; zero if the store has no entry
 	readAt   boottime.Instant // when this process learned of the revision
+	opaque   bool             // the store has an entry that this build can't read, so it stays until it expires
 
 	found    []foundCrash // crashes that this host saw and the store does not list yet
 	refuted  []Process    // crashes that complete responses showed to have other causes
@@ -37,11 +38,11 @@
 }
 
 // clear records that the store has no entry.
-func (r *record) clear() { r.stored, r.revision, r.refuted = Entry{}, 0, nil }
+func (r *record) clear() { r.stored, r.revision, r.refuted, r.opaque = Entry{}, 0, nil, false }
 
 // store records the entry that the store has.
 func (r *record) store(entry Entry, revision kvstore.Revision, now boottime.Instant) {
-	r.stored, r.revision, r.readAt = entry, revision, now
+	r.stored, r.revision, r.readAt, r.opaque = entry, revision, now, false
 	r.refuted = slices.DeleteFunc(r.refuted, func(p Process) bool {
 		return !slices.ContainsFunc(entry.Crashes, func(c Crash) bool { return c.Process == p })
 	})
--- a/internal/crashguard/table.go
+++ b/internal/crashguard/table.go
@@ -317,5 +317,6 @@
 	}
 	decoded, err := decodeEntry(entry)
 	r.store(decoded, entry.Revision, now)
+	r.opaque = err != nil
 	return err
 }
--- a/internal/crashguard/table_test.go
+++ b/internal/crashguard/table_test.go
@@ -217,6 +217,23 @@
 	require.Len(t, writes[0].entry.Crashes, 2)
 }
 
+// A record that this build can't read, as a later one might write it, was deleted.
+func TestUnreadableRecordIsLeftAlone(t *testing.T) {
+	f, table := fingerprint(1), NewTable("h")
+	entry := storeEntry(t, f, Entry{}, 5)
+	entry.Value = []byte(`{"crashes":"in another form"}`)
+	require.Error(t, table.Apply(entry, start))
+	require.Equal(t, Allowed, table.Admit(f, start).Verdict)
+	require.Empty(t, table.Writes(start))
+	table.Answered(f)
+	require.Empty(t, table.Writes(after(time.Second)))
+	require.NotEmpty(t, table.Writes(after(forgetTime+maxDeletionDelay+time.Second)), "it expires")
+
+	require.NoError(t, table.Apply(storeEntry(t, f, Entry{Crashes: []Crash{crashOf("u1")}}, 6), start))
+	table.Answered(f)
+	require.NotEmpty(t, table.Writes(after(time.Hour)), "it is read now")
+}
+
 // FuzzApply checks that any entry of the store leaves a table that still decides.
 func FuzzApply(f *testing.F) {
 	key := Key("a", fingerprint(1))
--- a/internal/crashguard/writes.go
+++ b/internal/crashguard/writes.go
@@ -43,6 +43,8 @@
 	isDue := slices.ContainsFunc(r.found, func(c foundCrash) bool { return !now.Before(c.due) })
 	crashes := r.crashes()
 	switch {
+	case r.opaque && !expired:
+		return Write{}, nil
 	case r.revision != 0 && (len(crashes) == 0 || expired && !isDue):
 		return Write{Fingerprint: f, Write: kvstore.Write{Key: entryKey(r.account, f), Expected: r.revision, Delete: true}}, nil
 	case isDue || len(r.refuted) > 0:
