platform: an entry of a policy that this build can't read concerns no other

Cause: one route of kind upload made addRoute fail, and with it the whole policy. Any unknown word, or a route to a missing service, did the same.

Each is logged and counted. NewTable lists problems instead of failing.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -109,7 +109,7 @@
 // request to one of the upstreams.
 func isStateChange(line Line, upstreams map[any]bool) bool {
 	switch line.Event {
-	case "store lost", "store regained", "store history lost", "store era", "snapshot read", "policy in force", "policy rejected", "policy ignored", "retention ended",
+	case "store lost", "store regained", "store history lost", "store era", "snapshot read", "policy in force", "policy rejected", "policy entry not applied", "policy ignored", "retention ended",
 		"evacuation", "started", "leaving", "settings reloaded", "entries absent after outage",
 		"links lost", "links restored":
 		return true
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -147,12 +147,34 @@
 		return notRunProblem(problem.TypeNotFound, "no route matches")
 	}
 	x.account = table.AccountByKey(x.call.Key)
-	if x.account == nil && !x.route.Open {
+	switch {
+	case x.route.Unusable != "":
+		return unusableProblem("route " + x.route.Name + ": " + x.route.Unusable)
+	case x.account != nil && x.account.Unusable != "":
+		return unusableProblem("client account " + x.account.Name + ": " + x.account.Unusable)
+	case x.account == nil && !x.route.Open:
 		return notRunProblem(problem.TypeUnauthenticated, "the key is unknown")
 	}
 	return x.checkKeysCurrent()
 }
 
+// checkServiceUsable rejects requests for a service whose entry in the policy can't be
+// applied.
+func (x *exchange) checkServiceUsable() *problem.Problem {
+	if service := x.table.Service(x.service); service != nil && service.Unusable != "" {
+		return unusableProblem("service " + x.service + ": " + service.Unusable)
+	}
+	return nil
+}
+
+// unusableRetryAfter is the Retry-After value for requests that can't be served under the
+// policy in force. Hosts of another build may be able to.
+const unusableRetryAfter = time.Second
+
+func unusableProblem(detail string) *problem.Problem {
+	return notRunProblem(problem.TypeNoUpstream, detail).WithRetryAfter(unusableRetryAfter)
+}
+
 // checkKeysCurrent rejects requests to routes that require a key while the last
 // proof that the keys are current is too old: a key may have been withdrawn since.
 func (x *exchange) checkKeysCurrent() *problem.Problem {
@@ -373,6 +395,12 @@
 	if x.table != before && !routesTo(x.route, x.service) && x.relayedBy == "" {
 		x.service = x.gateway.splitter.chooseService(x.route)
 	}
+	if rejection := x.checkServiceUsable(); rejection != nil {
+		if x.attempts > 0 {
+			return x.attemptsExhausted(rejection.Detail)
+		}
+		return rejection
+	}
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"peridotrail/internal/linkhealth"
 	"peridotrail/internal/registration"
 	"peridotrail/internal/replica"
+	"peridotrail/internal/routing"
 )
 
 // Store is the part of the store client that a gateway uses.
@@ -86,6 +87,7 @@
 	g.crashes = newCrashProber(g.probeCrash, g.reportCrash)
 	g.transports = newTransports(g.maxConnections, g.dialUpstream)
 	g.state.onUpstreams = g.transports.retain
+	g.state.onPolicy = func(table *routing.Table) { g.metrics.showPolicyProblems(len(table.Problems())) }
 	g.replica = replica.New(replica.Options{
 		Feed: o.Store, Handler: g.state, Logger: o.Logger,
 		ProofInterval: scale(o.Settings.KeyAge, proofIntervalFraction), BatchPause: scale(o.Settings.PolicyDelay, batchDelayFraction),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,6 +36,12 @@
 	show("store.view.age.ms", func() int64 { return viewAge().Milliseconds() })
 }
 
+// showPolicyProblems sets the gauge of the entries of the policy in force that are not
+// applied as they are.
+func (m *requestMetrics) showPolicyProblems(n int) {
+	metrics.GetOrRegisterGauge("policy.problems", m.registry).Update(int64(n))
+}
+
 // countRequest counts a finished request by its status and records its latency.
 func (m *requestMetrics) countRequest(outcome string, duration time.Duration) {
 	metrics.GetOrRegisterCounter("request.outcome."+outcome, m.registry).Inc(1)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -35,6 +35,8 @@
 	crashes  *crashguard.Table
 	// onUpstreams is called with all known upstreams after each change.
 	onUpstreams func([]catalog.Upstream)
+	// onPolicy is called with each policy before it is in force.
+	onPolicy func(*routing.Table)
 	// onHosts is called with all known hosts after each change. It is guarded by mu.
 	onHosts func([]catalog.Host)
 
@@ -77,7 +79,8 @@
 
 		keptEvacuations: map[string]boottime.Instant{},
 
-		onHosts: func([]catalog.Host) {},
+		onHosts:  func([]catalog.Host) {},
+		onPolicy: func(*routing.Table) {},
 	}
 	s.hosts.Store(&[]catalog.Host{})
 	s.upstreamNames.Store(&map[uint32]string{})
@@ -279,11 +282,11 @@
 		_ = level.Info(s.logger).Log("event", "policy ignored", "version", document.Version, "in_force", current.Version(), "revision", entry.Revision)
 		return
 	}
-	table, err := routing.NewTable(document)
-	if err != nil {
-		_ = level.Error(s.logger).Log("event", "policy rejected", "revision", entry.Revision, "err", err)
-		return
+	table := routing.NewTable(document)
+	for _, problem := range table.Problems() {
+		_ = level.Warn(s.logger).Log("event", "policy entry not applied", "version", problem.Version, "item", problem.Item, "detail", problem.Reason, "revision", entry.Revision)
 	}
+	s.onPolicy(table)
 	s.table.Store(table)
 	_ = level.Info(s.logger).Log("event", "policy in force", "version", document.Version, "revision", entry.Revision, "routes", len(document.Routes))
 }
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -15,6 +15,9 @@
 	Services []Service
 	Accounts []Account
 	Limits   Limits
+	// Problems are the entries that were left out, are unusable, or are served with
+	// restrictions. They affect no other entry.
+	Problems []PolicyError
 }
 
 // Route is the policy for requests to one host name whose path begins with Prefix.
@@ -34,6 +37,9 @@
 	Open             bool     // requests need no key
 	Sticky           bool     // upstreams serve recently used objects faster
 	HomeRegions      []string // regions that may serve the requests; empty allows all
+	// Unusable is why no request on the route can be served; empty if requests can be. The
+	// route still hides those with shorter prefixes.
+	Unusable string
 }
 
 // Target is one service of a route's weighted traffic split.
@@ -48,6 +54,7 @@
 	MaxConnections int           // to one upstream, summed over all hosts
 	ColdStart      time.Duration // how long an upstream is cold after its start
 	ColdRate       float64       // requests per second that a cold upstream can serve; zero means no limit
+	Unusable       string        // why no request can be sent to the service; empty if requests can be
 }
 
 // Account is a client account.
@@ -58,6 +65,7 @@
 	Rate        float64  // requests per second over all hosts; zero means no limit
 	Burst       float64  // requests
 	HomeRegions []string // regions that may serve the requests; empty allows all
+	Unusable    string   // why no request of the account can be served; empty if requests can be
 }
 
 // Limits bound the requests of callers. Zero means the host's default.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -8,15 +8,15 @@
 	"strings"
 )
 
-// PolicyError reports a policy that can't be applied.
+// PolicyError reports an entry of a policy that can't be applied as it is.
 type PolicyError struct {
 	Version Version
-	Item    string // the invalid item, for example "route NAME"
+	Item    string // the entry, for example "route NAME"
 	Reason  string
 }
 
 // Error implements error.
-func (e *PolicyError) Error() string {
+func (e PolicyError) Error() string {
 	return fmt.Sprintf("policy version %d: %s: %s", e.Version, e.Item, e.Reason)
 }
 
@@ -28,11 +28,13 @@
 	accountsByKey map[[sha256.Size]byte]*Account // by the SHA-256 hash of the key
 	accounts      []Account
 	limits        Limits
+	problems      []PolicyError
 }
 
-// NewTable checks and indexes a policy. It fails with a *PolicyError. The table
-// refers to the policy, which must not be changed afterwards.
-func NewTable(policy Policy) (*Table, error) {
+// NewTable checks and indexes a policy. An entry that can't be applied affects no other
+// one: its requests are refused, and Problems lists it. The table refers to the policy,
+// which must not be changed afterwards.
+func NewTable(policy Policy) *Table {
 	t := &Table{
 		version:       policy.Version,
 		routes:        map[string][]*Route{},
@@ -40,14 +42,13 @@
 		accountsByKey: map[[sha256.Size]byte]*Account{},
 		accounts:      policy.Accounts,
 		limits:        policy.Limits,
+		problems:      slices.Clone(policy.Problems),
 	}
 	for i := range policy.Services {
 		t.services[policy.Services[i].Name] = &policy.Services[i]
 	}
 	for i := range policy.Routes {
-		if err := t.addRoute(&policy.Routes[i]); err != nil {
-			return nil, err
-		}
+		t.addRoute(&policy.Routes[i])
 	}
 	for _, routes := range t.routes {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -57,35 +58,52 @@
 			t.accountsByKey[sha256.Sum256([]byte(key))] = &policy.Accounts[i]
 		}
 	}
-	return t, nil
+	return t
 }
 
 // addRoute checks and indexes a route. It sets MaxAttempts to at least 1.
-func (t *Table) addRoute(r *Route) error {
-	invalid := func(reason string) error {
-		return &PolicyError{Version: t.version, Item: "route " + r.Name, Reason: reason}
+func (t *Table) addRoute(r *Route) {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		t.addProblem("route "+r.Name, fmt.Sprintf("prefix %q does not begin and end with a slash", r.Prefix))
+		return // it is not known which requests the route concerns
+	}
+	if r.Unusable == "" {
+		if reason := t.unusable(r); reason != "" {
+			r.Unusable = reason
+			t.addProblem("route "+r.Name, reason)
+		}
 	}
+	r.MaxAttempts = max(r.MaxAttempts, 1)
+	t.routes[r.Host] = append(t.routes[r.Host], r)
+}
+
+// unusable returns why no request on a route can be served, empty if requests can be.
+func (t *Table) unusable(r *Route) string {
 	switch {
-	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
-		return invalid(fmt.Sprintf("prefix %q does not begin and end with a slash", r.Prefix))
 	case len(r.Targets) == 0:
-		return invalid("no target service is given")
+		return "no target service is given"
 	case r.Timeout <= 0:
-		return invalid("the timeout is not positive")
+		return "the timeout is not positive"
 	}
 	for _, target := range r.Targets {
 		if t.services[target.Service] == nil {
-			return invalid(fmt.Sprintf("service %q does not exist", target.Service))
+			return fmt.Sprintf("service %q does not exist", target.Service)
 		}
 		if target.Weight < 0 {
-			return invalid(fmt.Sprintf("the weight of service %q is negative", target.Service))
+			return fmt.Sprintf("the weight of service %q is negative", target.Service)
 		}
 	}
-	r.MaxAttempts = max(r.MaxAttempts, 1)
-	t.routes[r.Host] = append(t.routes[r.Host], r)
-	return nil
+	return ""
 }
 
+func (t *Table) addProblem(item, reason string) {
+	t.problems = append(t.problems, PolicyError{Version: t.version, Item: item, Reason: reason})
+}
+
+// Problems returns the entries of the policy that can't be applied as they are. The slice
+// must not be changed.
+func (t *Table) Problems() []PolicyError { return t.problems }
+
 // Version returns the version of the policy.
 func (t *Table) Version() Version { return t.version }
 
