forward: an upstream gets a beginning of a long body or the whole

Callers saw: bookings run with bytes missing in the middle of their bodies, and 502 for uploads that an upstream had refused without running them.

Cause: bodies beyond 64 KiB were streamed once, but the gateway sent them again after a refusal, from where the first attempt had stopped. And net/http reads the rest of a request body itself when the handler begins to respond, while the upstream that had responded early still read it.

Change: Payload keeps bodies of up to 1 MiB within a budget of the host, gives the rest to one reader, and ends readers before another attempt and at the end of the exchange. The server no longer reads a body that is streamed. A body that is late is refused with 408; its time-out showed that reject completed a response as an empty 200 when the request's context had ended: it now closes the connection.

Checks: TestPayloadSizes now also varies the memory and lengths up to 1 MiB; its statement on Buffered went with that method (Kept, Prefix). Fake upstreams no longer count a request whose body breaks off.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -80,10 +80,10 @@
 // may have been executed only if it is idempotent. The dispatcher can still refuse
 // the retry when its retry budget is exhausted.
 func (x *exchange) mayRetry(ctx context.Context, failure *sendFailure) bool {
-	if ctx.Err() != nil || !x.payload.Replayable() {
+	if ctx.Err() != nil || failure.executed != problem.ExecutedNo && !x.idempotent {
 		return false
 	}
-	return failure.executed == problem.ExecutedNo || x.idempotent
+	return x.payload.Rewind()
 }
 
 // readPayload buffers the beginning of the body before any upstream is
@@ -100,10 +100,11 @@
 	stop := context.AfterFunc(x.ctx, func() {
 		_ = controller.SetReadDeadline(time.Unix(1, 0)) // unsupported for relayed requests, whose stream ends with its context
 	})
-	payload, err := forward.ReadPayload(r.Body, r.ContentLength)
+	payload, err := forward.ReadPayload(r.Body, r.ContentLength, nil)
 	stop()
 	if err == nil {
 		x.payload = payload
+		forward.KeepBodyReadable(w, payload)
 		return nil
 	}
 	if p := contextProblem(x.ctx, problem.ExecutedNo, "while the body was read"); p != nil {
--- a/internal/entry/idempotency.go
+++ b/internal/entry/idempotency.go
@@ -166,7 +166,7 @@
 		h.Write([]byte{0})
 	}
 	h.Write(binary.BigEndian.AppendUint64(nil, uint64(x.payload.Length())))
-	if body, ok := x.payload.Buffered(); ok {
+	if body, whole := x.payload.Prefix(); whole {
 		h.Write(body)
 	}
 	return idempotency.Fingerprint(h.Sum(nil))
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -35,6 +35,7 @@
 	if a.remainder == nil && x.request.Method != http.MethodHead {
 		header["Content-Length"] = []string{strconv.Itoa(len(a.body))}
 	}
+	x.closeIfUnread(header)
 	x.responseStarted = true
 	w.WriteHeader(a.response.StatusCode)
 	_, err := w.Write(a.body)
@@ -87,16 +88,27 @@
 	duration := boottime.Now().Sub(x.start)
 	x.gateway.metrics.countRequest(strconv.Itoa(p.Status), duration)
 	x.logRequest("request refused", p.Status, p.Detail, duration, "executed", string(p.Executed), "retry_after_ms", p.RetryAfter.Milliseconds())
-	if x.request.Context().Err() != nil && x.relayedBy == "" {
-		return // the caller closed the connection; a relayed request may just have expired
+	if x.request.Context().Err() != nil && x.relayedBy == "" && p.Type != problem.TypeBodyTimeout {
+		// The caller closed the connection; a relayed request may just have expired. Returning
+		// would complete the response as an empty success.
+		panic(http.ErrAbortHandler)
 	}
 	if p.RetryAfter > 0 {
 		w.Header().Set("Retry-After", x.gateway.dialect.FormatRetryAfter(p.RetryAfter))
 		p.RetryAfter = 0
 	}
+	x.closeIfUnread(w.Header())
 	p.Write(w)
 }
 
+// closeIfUnread tells the caller that its connection will be closed, if the caller has not
+// sent the whole body yet.
+func (x *exchange) closeIfUnread(header http.Header) {
+	if x.relayedBy == "" && x.payload != nil && !x.payload.Received() {
+		header.Set("Connection", "close")
+	}
+}
+
 // logRequest writes one line about a finished request, with the inputs of the
 // decisions about it.
 func (x *exchange) logRequest(event string, status int, detail string, duration time.Duration, extra ...any) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -65,7 +66,7 @@
 			x.handlePanic(w, reason)
 		}
 	}()
-	rejection := x.prepare()
+	rejection := x.prepare(w)
 	if x.payload != nil {
 		defer x.payload.Release()
 		defer x.settled()
@@ -78,10 +79,9 @@
 	}
 }
 
-// prepare authorises the request, reads its body and chooses its service and
-// deadline. It returns the problem with which to reject the request, nil if there
-// is none.
-func (x *exchange) prepare() *problem.Problem {
+// prepare authorises the request, chooses its service and deadline and reads its body. It
+// returns the problem with which to reject the request, nil if there is none.
+func (x *exchange) prepare(w http.ResponseWriter) *problem.Problem {
 	g := x.gateway
 	if g.rejecting.Load() {
 		return notRunProblem(problem.TypeShuttingDown, "the host is leaving").WithRetryAfter(otherHostRetryAfter)
@@ -89,34 +89,59 @@
 	if rejection := x.authorise(); rejection != nil {
 		return rejection
 	}
-	maxBytes := maxBodyBytes(x.table.Limits())
-	if x.request.ContentLength > maxBytes {
-		return notRunProblem(problem.TypeTooLarge, "the body is larger than the limit")
-	}
-	payload, err := forward.ReadPayload(http.MaxBytesReader(nil, x.request.Body, maxBytes), x.request.ContentLength)
-	if err != nil {
-		return bodyReadProblem(err)
-	}
-	x.payload = payload
 	if x.relayedBy == "" {
 		x.service = g.splitter.chooseService(x.route)
 	} else if !routesTo(x.route, x.service) {
 		return notRunProblem(problem.TypeNotFound, "the route does not lead to the service")
 	}
+	if rejection := x.checkServiceUsable(); rejection != nil {
+		return rejection
+	}
 	x.header = endToEndHeaders(x.request.Header)
 	x.deadline = x.start.Add(x.route.Timeout)
 	if x.call.Deadline > 0 {
 		x.deadline = min(x.deadline, x.start.Add(x.call.Deadline))
 	}
+	return x.readBody(w)
+}
+
+// readBody reads the beginning of the body, the whole if there is memory for it. It returns
+// the problem with which to reject the request, nil if there is none.
+func (x *exchange) readBody(w http.ResponseWriter) *problem.Problem {
+	maxBytes := maxBodyBytes(x.table.Limits())
+	if x.request.ContentLength > maxBytes {
+		return notRunProblem(problem.TypeTooLarge, "the body is larger than the limit")
+	}
+	if x.request.ContentLength != 0 {
+		x.setReadDeadline(w, time.Now().Add(x.deadline.Sub(boottime.Now())))
+	}
+	payload, err := forward.ReadPayload(http.MaxBytesReader(nil, x.request.Body, maxBytes), x.request.ContentLength, x.gateway.bodies)
+	if err != nil {
+		return bodyReadProblem(err)
+	}
+	x.payload = payload
+	if payload.Kept() && x.request.ContentLength != 0 {
+		x.setReadDeadline(w, time.Time{})
+	}
+	forward.KeepBodyReadable(w, payload)
 	return nil
 }
 
+// setReadDeadline sets the time until which the caller must have sent the body; zero means
+// no limit.
+func (x *exchange) setReadDeadline(w http.ResponseWriter, at time.Time) {
+	_ = http.NewResponseController(w).SetReadDeadline(at) // unsupported by relays, whose streams end with the request
+}
+
 // bodyReadProblem returns the problem for a body that could not be read.
 func bodyReadProblem(err error) *problem.Problem {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return notRunProblem(problem.TypeTooLarge, err.Error())
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return notRunProblem(problem.TypeBodyTimeout, "the deadline passed while the body was read")
+	}
 	return notRunProblem(problem.TypeMalformed, "the body could not be read: "+err.Error())
 }
 
@@ -244,6 +269,8 @@
 			detail = "an upstream crashed while it ran this request before"
 		case x.attempts >= x.route.MaxAttempts:
 			detail = "no upstream answered"
+		case !x.payload.Rewind():
+			detail = bodyNotKept
 		case !x.gateway.limits.takeRetry(x.service, boottime.Now()):
 			detail = "the budget of repeats is used up"
 		default:
@@ -260,6 +287,9 @@
 	}
 }
 
+// bodyNotKept is the detail of a refusal of a request whose body was sent and not kept.
+const bodyNotKept = "the body was too long to be kept and sent again"
+
 // attempt makes the next attempt: at an upstream, or through another host if this one
 // can't reach the upstreams. It returns the problem to respond with if neither is
 // possible.
@@ -273,6 +303,9 @@
 			return relayed, nil
 		}
 	}
+	if !x.payload.Rewind() {
+		return attemptOutcome{}, x.attemptsExhausted(bodyNotKept)
+	}
 	placed, rejection := x.place()
 	if rejection != nil {
 		if x.unreachable {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,7 @@
 	logLimiter *logLimiter
 	links      *linkhealth.Tracker
 	crashes    *crashProber
+	bodies     *forward.PayloadBudget // memory for request bodies
 	dial       forward.DialFunc
 	relays     *relays // nil if the host neither relays requests nor sends them for others; set before requests are served
 	started    int64   // incarnation of this process
@@ -79,6 +80,7 @@
 		links:      linkhealth.NewTracker(),
 		dial:       o.DialUpstream,
 		started:    time.Now().UnixNano(),
+		bodies:     forward.NewPayloadBudget(o.Settings.bodyMemory()),
 	}
 	g.state = newState(settings, o.Schema, o.Logger, g.limits, boottime.Now, func() boottime.Instant { return g.replica.Proof() })
 	if g.dial == nil {
@@ -93,6 +95,7 @@
 		ProofInterval: scale(o.Settings.KeyAge, proofIntervalFraction), BatchPause: scale(o.Settings.PolicyDelay, batchDelayFraction),
 		Source: changefeed.NewClient(), MaxDelay: o.Settings.PolicyDelay,
 	})
+	g.metrics.showBodyMemory(g.bodies.Free)
 	g.metrics.showStore(o.Store.Eras(), func() time.Duration { return boottime.Now().Sub(g.replica.Proof()) })
 	return g
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,6 +36,11 @@
 	show("store.view.age.ms", func() int64 { return viewAge().Milliseconds() })
 }
 
+// showBodyMemory adds a gauge of the free memory for request bodies, in bytes.
+func (m *requestMetrics) showBodyMemory(free func() int64) {
+	metrics.NewRegisteredFunctionalGauge("body.memory.free.bytes", m.registry, free)
+}
+
 // showPolicyProblems sets the gauge of the entries of the policy in force that are not
 // applied as they are.
 func (m *requestMetrics) showPolicyProblems(n int) {
--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -49,6 +49,9 @@
 		regionAllowed = func(region string) bool { return containsString(regions, region) }
 	}
 	for x.mayRelay() {
+		if !x.payload.Rewind() {
+			break
+		}
 		peer, found := x.gateway.relays.peers.acquire(regionAllowed, x.relayTried, boottime.Now())
 		if !found {
 			break
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -38,6 +38,15 @@
 	MaxShift   float64 // share of a region's requests that may move to another region within 2 s
 }
 
+// bodyMemory returns the number of bytes that request bodies may take beyond their first
+// buffers.
+func (s Settings) bodyMemory() int64 {
+	if s.MemoryLimit <= 0 {
+		return defaultBodyMemory
+	}
+	return int64(float64(s.MemoryLimit) * bodyMemoryFraction)
+}
+
 // DefaultSettings returns the values of settings that a deployment does not set.
 func DefaultSettings() Settings {
 	return Settings{
@@ -94,6 +103,10 @@
 	// The links between them are shared by all traffic.
 	crossDomainCost = 0.03
 	crossRegionCost = 0.03
+	// bodyMemoryFraction is the fraction of the memory limit that request bodies may take.
+	bodyMemoryFraction = 0.125
+	// defaultBodyMemory applies without a memory limit, in bytes.
+	defaultBodyMemory = 32 << 20
 	// regionRoundTrip is the usual round-trip time between regions.
 	regionRoundTrip = 24 * time.Millisecond
 )
--- a/internal/problem/new.go
+++ b/internal/problem/new.go
@@ -14,6 +14,7 @@
 var typeInfos = map[Type]typeInfo{
 	TypeMalformed:          {http.StatusBadRequest, "The request is malformed or ambiguous"},
 	TypeTooLarge:           {http.StatusRequestEntityTooLarge, "The request's body is too large"},
+	TypeBodyTimeout:        {http.StatusRequestTimeout, "The request's body did not arrive in time"},
 	TypeNotFound:           {http.StatusNotFound, "There is no such service or resource"},
 	TypeUnauthenticated:    {http.StatusUnauthorized, "A valid key is required"},
 	TypeKeyWithdrawn:       {http.StatusUnauthorized, "The key was withdrawn"},
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -33,6 +33,7 @@
 const (
 	TypeMalformed          Type = "/problems/malformed-request"
 	TypeTooLarge           Type = "/problems/body-too-large"
+	TypeBodyTimeout        Type = "/problems/body-timeout"
 	TypeNotFound           Type = "/problems/not-found"
 	TypeUnauthenticated    Type = "/problems/unauthenticated"
 	TypeKeyWithdrawn       Type = "/problems/key-withdrawn"
