gateway: a response counts only with the ID of its request

Callers saw: a booking run at two upstreams, if a faulty upstream wrote an earlier refusal once more on a kept connection and the copy had no ID.

Cause: a response without an ID was accepted for any request, so a refusal meant 'not run' while the upstream ran the request.

Change: a response without the ID of its request is discarded with its connection, and the outcome of the request is unknown. Its cold time is no longer read either.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -91,6 +91,11 @@
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
 }
 
+// countForeignResponse counts a response that does not carry the ID of the request.
+func (m *requestMetrics) countForeignResponse() {
+	metrics.GetOrRegisterCounter("response.foreign", m.registry).Inc(1)
+}
+
 // countLeaving counts a response of an upstream that says that it leaves.
 func (m *requestMetrics) countLeaving() {
 	metrics.GetOrRegisterCounter("upstream.leaving", m.registry).Inc(1)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -66,14 +66,15 @@
 	now := boottime.Now()
 	x.arrived = true
 	x.gateway.links.Responded(now)
-	if reply.ColdRemaining > 0 {
-		placed.SetColdUntil(now.Add(reply.ColdRemaining), now)
-	}
-	if reply.CallID != "" && reply.CallID != x.call.ID {
+	if reply.CallID != x.call.ID { // also without an ID: a copy of an earlier response may lack it
+		x.gateway.metrics.countForeignResponse()
 		forward.Discard(response)
 		placed.Done(placement.Report{Outcome: placement.OutcomeFailed}, now)
 		return attemptOutcome{result: resultUnknown}
 	}
+	if reply.ColdRemaining > 0 {
+		placed.SetColdUntil(now.Add(reply.ColdRemaining), now)
+	}
 	if !reply.Moved {
 		x.recordLimit(placed, reply, now)
 		x.recordAnnouncements(placed, reply, now)
