placement: a report of another host costs what it holds, not hosts times upstreams

Cause: each report of a host of the same failure domain, ten a second from each of 32, added up all reports of all hosts over all upstreams again.

Change: sums per upstream are kept; a report subtracts the one before and adds itself. Reports that are no longer valid are looked for every 50 ms.

--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -6,8 +6,13 @@
 	"peridotrail/internal/boottime"
 )
 
-// peerReportTTL is how long the last report of another host stays valid.
-const peerReportTTL = 500 * time.Millisecond
+const (
+	// peerReportTTL is how long the last report of another host stays valid.
+	peerReportTTL = 500 * time.Millisecond
+	// peerExpiryInterval is the time between two searches for reports that are no longer
+	// valid.
+	peerExpiryInterval = 50 * time.Millisecond
+)
 
 // peerReport holds the requests in flight that another host last reported.
 type peerReport struct {
@@ -29,25 +34,43 @@
 	return counts
 }
 
-// SetPeerInflightCounts replaces the last report of another host. Reports older
-// than peerReportTTL are dropped.
+// SetPeerInflightCounts replaces the last report of another host. Its cost depends on the
+// upstreams in the two reports, not on the numbers of hosts and upstreams.
 func (p *Pool) SetPeerInflightCounts(host string, counts map[string]int, now boottime.Instant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.addPeerRequests(p.peerReports[host].counts, -1)
 	p.peerReports[host] = peerReport{receivedAt: now, counts: counts}
-	for _, u := range p.upstreams {
-		u.peerRequests = 0
+	p.addPeerRequests(counts, 1)
+	for id := range counts {
+		if u := p.upstreams[id]; u != nil {
+			u.peerReportedAt = now
+		}
 	}
+	if now.Before(p.nextPeerExpiry) {
+		return
+	}
+	p.nextPeerExpiry = now.Add(peerExpiryInterval)
 	for name, report := range p.peerReports {
 		if now.Sub(report.receivedAt) > peerReportTTL {
+			p.addPeerRequests(report.counts, -1)
 			delete(p.peerReports, name)
-			continue
 		}
-		for id, n := range report.counts {
-			if u := p.upstreams[id]; u != nil {
-				u.peerRequests += float64(n)
-				u.peerReportedAt = now
-			}
+	}
+}
+
+// addPeerRequests adds sign times the counts of a report to the requests of other hosts.
+// The caller holds mu.
+func (p *Pool) addPeerRequests(counts map[string]int, sign int) {
+	for id, n := range counts {
+		total := p.peerRequests[id] + sign*n
+		if total == 0 {
+			delete(p.peerRequests, id)
+		} else {
+			p.peerRequests[id] = total
+		}
+		if u := p.upstreams[id]; u != nil {
+			u.peerRequests = float64(total)
 		}
 	}
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -53,31 +53,34 @@
 type Pool struct {
 	settings Settings
 
-	mu            sync.Mutex // guards the fields below; not held during I/O
-	upstreams     map[string]*upstream
-	sendCounts    map[string]*sendCount // by upstream ID, also of upstreams that are absent for the moment
-	services      map[string]*service
-	estimates     map[string]*routeEstimate
-	evacuated     map[string]bool // failure domains that get no requests
-	shift         shiftLimiter
-	peerReports   map[string]peerReport     // by host
-	limits        map[string]*requestLimit  // by upstream ID, also of upstreams that are absent for the moment
-	limitRefusals int                       // requests refused because of a limit
-	announcements map[string]*announcements // by upstream ID, also of upstreams that are absent for the moment
-	restRefusals  int                       // requests refused because upstreams rest
-	scratch       []*upstream               // candidates of the current placement
+	mu             sync.Mutex // guards the fields below; not held during I/O
+	upstreams      map[string]*upstream
+	sendCounts     map[string]*sendCount // by upstream ID, also of upstreams that are absent for the moment
+	services       map[string]*service
+	estimates      map[string]*routeEstimate
+	evacuated      map[string]bool // failure domains that get no requests
+	shift          shiftLimiter
+	peerReports    map[string]peerReport // by host
+	peerRequests   map[string]int        // sum of peerReports, by upstream ID
+	nextPeerExpiry boottime.Instant
+	limits         map[string]*requestLimit  // by upstream ID, also of upstreams that are absent for the moment
+	limitRefusals  int                       // requests refused because of a limit
+	announcements  map[string]*announcements // by upstream ID, also of upstreams that are absent for the moment
+	restRefusals   int                       // requests refused because upstreams rest
+	scratch        []*upstream               // candidates of the current placement
 }
 
 // NewPool returns a pool without upstreams.
 func NewPool(settings Settings) *Pool {
 	return &Pool{
-		settings:    settings,
-		upstreams:   map[string]*upstream{},
-		sendCounts:  map[string]*sendCount{},
-		services:    map[string]*service{},
-		estimates:   map[string]*routeEstimate{},
-		peerReports: map[string]peerReport{},
-		limits:      map[string]*requestLimit{},
+		settings:     settings,
+		upstreams:    map[string]*upstream{},
+		sendCounts:   map[string]*sendCount{},
+		services:     map[string]*service{},
+		estimates:    map[string]*routeEstimate{},
+		peerReports:  map[string]peerReport{},
+		peerRequests: map[string]int{},
+		limits:       map[string]*requestLimit{},
 
 		announcements: map[string]*announcements{},
 		shift:         shiftLimiter{maxGrowth: settings.MaxShift},
@@ -102,6 +105,7 @@
 		if known == nil || known.Address != entry.Address || known.Service != entry.Service || known.Incarnation != entry.Incarnation {
 			u = newUpstream(entry, p.settings.Regions[entry.FailureDomain], p.sendCount(entry.ID), p.limitRecord(entry.ID, entry.Incarnation, now), p.announcementsOf(entry.ID, entry.Incarnation))
 			u.ColdUntil = 0
+			u.peerRequests = float64(p.peerRequests[entry.ID])
 		}
 		u.Draining = entry.Draining || u.announced.leaving
 		u.reportedColdUntil = max(u.reportedColdUntil, entry.ColdUntil)
