gateway: a host is ready once its keys are proved current

Callers saw: 503 'the keys were last proved current 16m31s ago' from a host that had just said that it was ready.

Cause: readiness and registration looked at the policy only; the first proof is stored after the policy is in force.

Change: both also wait for the first proof.

Result: TestHostIsReadyOnceItsKeysAreProvedCurrent failed before (503 in place of 200) and passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,17 +118,21 @@
 // policy sets no limit for.
 const defaultMaxConnections = 64
 
-// ready reports whether the host has a policy and is not shutting down.
-func (g *Gateway) ready() bool {
-	return g.state.table.Load() != nil && !g.shuttingDown.Load()
+// ready reports whether the host can serve and is not shutting down.
+func (g *Gateway) ready() bool { return g.canServe() && !g.shuttingDown.Load() }
+
+// canServe reports whether the host has a policy and has proved once that its keys are
+// current. Without a proof it refuses all requests that need a key.
+func (g *Gateway) canServe() bool {
+	return g.state.table.Load() != nil && g.replica.Proof() != 0
 }
 
 const (
 	// absenceCheckInterval is the time between checks for members whose entries
 	// have been absent since an outage of the store.
 	absenceCheckInterval = 200 * time.Millisecond
-	// readyPollInterval is how often a starting host checks whether it has a policy
-	// and can register.
+	// readyPollInterval is how often a starting host checks whether it can serve and
+	// register.
 	readyPollInterval = 20 * time.Millisecond
 )
 
@@ -152,10 +156,10 @@
 	}
 }
 
-// register waits until the host has a policy, then keeps its entry in the store
+// register waits until the host can serve, then keeps its entry in the store
 // until ctx ends.
 func (g *Gateway) register(ctx context.Context) {
-	for g.state.table.Load() == nil {
+	for !g.canServe() {
 		select {
 		case <-ctx.Done():
 			return
