loadreport: a host sends at most 160 reports a second, whatever the fleet's size

Callers saw: hosts of large fleets spend processor time that grows with the number of hosts of their failure domain.

Cause: ten reports a second to every other host of the domain.

Change: beyond 16 hosts in a domain the interval grows with their number, and a report is valid for two and a half intervals, 500 ms at least. Up to 16 others nothing changes.

Result: 160 in place of 320 reports a second with 32 others, 160 in place of 600 with 60. TestReportsPerSecondAreBounded and TestIntervalFollowsTheNumberOfPeers.

--- a/internal/gateway/load_reports.go
+++ b/internal/gateway/load_reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -32,7 +33,7 @@
 }
 
 // SetPeerCounts implements loadreport.Pool.
-func (l *loadPool) SetPeerCounts(host netip.AddrPort, counts []loadreport.Count) {
+func (l *loadPool) SetPeerCounts(host netip.AddrPort, counts []loadreport.Count, validFor time.Duration) {
 	names := l.state.upstreamNames.Load()
 	byID := make(map[string]int, len(counts))
 	for _, c := range counts {
@@ -40,7 +41,7 @@
 			byID[id] = int(c.Requests)
 		}
 	}
-	l.pool.SetPeerInflightCounts(host.String(), byID, boottime.Now())
+	l.pool.SetPeerInflightCounts(host.String(), byID, validFor, boottime.Now())
 }
 
 // loadPeersOf returns the load report addresses of the other hosts of this host's
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -29,18 +29,38 @@
 	// Counts returns the number of requests of this host at each upstream at which it
 	// has any. The caller may reorder the slice.
 	Counts() []Count
-	// SetPeerCounts replaces the counts last reported by a peer.
-	SetPeerCounts(peer netip.AddrPort, counts []Count)
+	// SetPeerCounts replaces the counts last reported by a peer, which are valid for the
+	// given time.
+	SetPeerCounts(peer netip.AddrPort, counts []Count, validFor time.Duration)
 }
 
 const (
-	// reportInterval is the time between two reports. It is short compared with the
+	// reportInterval is the shortest time between two reports. It is short compared with the
 	// time in which an upstream's queue builds up.
 	reportInterval = 100 * time.Millisecond
+	// maxReportsPerSecond limits the reports that a host sends, and thereby those that it
+	// receives.
+	maxReportsPerSecond = 160
+	// minValidity is the shortest time for which a report is valid.
+	minValidity = 500 * time.Millisecond
+	// validIntervals is the number of intervals for which a report is valid at least.
+	validIntervals = 2.5
 	// maxCounts limits a report so that it fits in one packet.
 	maxCounts = 150
 )
 
+// interval returns the time between two reports to the given number of peers, so that a host
+// sends no more than maxReportsPerSecond.
+func interval(peers int) time.Duration {
+	return max(reportInterval, time.Duration(peers)*time.Second/maxReportsPerSecond)
+}
+
+// validity returns how long a report of one of the given number of peers is valid. It
+// outlasts the loss of one packet.
+func validity(peers int) time.Duration {
+	return max(minValidity, time.Duration(validIntervals*float64(interval(peers))))
+}
+
 // Exchange sends this host's counts to its peers and receives theirs.
 type Exchange struct {
 	socket *datagram.Socket
@@ -71,27 +91,27 @@
 func (e *Exchange) Run(ctx context.Context) {
 	var wait sync.WaitGroup
 	wait.Go(func() { datagram.Receive(e.socket, e.receive) })
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(reportInterval)
+	defer timer.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-		case <-ticker.C:
-			e.report()
+		case <-timer.C:
+			timer.Reset(interval(e.report()))
 		}
 	}
 	_ = e.socket.Close() // ends Receive
 	wait.Wait()
 }
 
-// report sends this host's counts to its peers. If there are too many, it sends the
-// largest ones.
-func (e *Exchange) report() {
+// report sends this host's counts to its peers and returns the number of peers. If there are
+// too many counts, it sends the largest ones.
+func (e *Exchange) report() int {
 	e.mu.Lock()
 	peers := e.peers
 	e.mu.Unlock()
 	if len(peers) == 0 {
-		return
+		return 0
 	}
 	counts := e.pool.Counts()
 	if len(counts) > maxCounts {
@@ -99,17 +119,15 @@
 		counts = counts[:maxCounts]
 	}
 	e.socket.Send(counts, peers...)
+	return len(peers)
 }
 
 // receive passes the counts of a peer to the pool and ignores other senders.
 func (e *Exchange) receive(from netip.AddrPort, counts []Count) {
-	if e.isPeer(from) {
-		e.pool.SetPeerCounts(from, counts)
-	}
-}
-
-func (e *Exchange) isPeer(peer netip.AddrPort) bool {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	return slices.Contains(e.peers, peer)
+	peers := e.peers
+	e.mu.Unlock()
+	if slices.Contains(peers, from) {
+		e.pool.SetPeerCounts(from, counts, validity(len(peers)))
+	}
 }
--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -26,7 +26,7 @@
 	return append([]Count(nil), p.own...)
 }
 
-func (p *fakePool) SetPeerCounts(peer netip.AddrPort, counts []Count) {
+func (p *fakePool) SetPeerCounts(peer netip.AddrPort, counts []Count, _ time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.received[peer] = counts
@@ -102,3 +102,33 @@
 	require.Eventually(t, func() bool { return len(receiver.receivedFrom(from)) == maxCounts }, time.Second, time.Millisecond)
 	require.Equal(t, uint16(999), receiver.receivedFrom(from)[0].Requests, "the largest counts are sent first")
 }
+
+// What a host sends does not grow with the number of hosts of its failure domain, and a
+// report outlasts the loss of the next one.
+func TestReportsPerSecondAreBounded(t *testing.T) {
+	for _, peers := range []int{0, 1, 2, 8, 13, 16, 32, 60, 300, 1000} {
+		perSecond := float64(peers) / interval(peers).Seconds()
+		require.LessOrEqual(t, perSecond, float64(maxReportsPerSecond), "%d peers", peers)
+		require.GreaterOrEqual(t, interval(peers), reportInterval)
+		require.Greater(t, validity(peers), 2*interval(peers), "%d peers", peers)
+	}
+	require.Equal(t, reportInterval, interval(16))
+	require.Equal(t, 500*time.Millisecond, validity(16))
+}
+
+func TestIntervalFollowsTheNumberOfPeers(t *testing.T) {
+	a, sender, from := startExchange(t)
+	b, receiver, to := startExchange(t)
+	b.SetPeers([]netip.AddrPort{from})
+	peers := []netip.AddrPort{to}
+	for port := range 79 { // nobody listens there
+		peers = append(peers, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), uint16(1+port)))
+	}
+	a.SetPeers(peers)
+	sender.setOwn([]Count{{Upstream: 7, Requests: 3}})
+	time.Sleep(2 * time.Second)
+	receiver.mu.Lock()
+	defer receiver.mu.Unlock()
+	require.Positive(t, receiver.receptions)
+	require.LessOrEqual(t, receiver.receptions, 5, "80 peers get two reports a second each")
+}
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -6,17 +6,12 @@
 	"peridotrail/internal/boottime"
 )
 
-const (
-	// peerReportTTL is how long the last report of another host stays valid.
-	peerReportTTL = 500 * time.Millisecond
-	// peerExpiryInterval is the time between two searches for reports that are no longer
-	// valid.
-	peerExpiryInterval = 50 * time.Millisecond
-)
+// peerExpiryInterval is the time between two searches for reports that are no longer valid.
+const peerExpiryInterval = 50 * time.Millisecond
 
 // peerReport holds the requests in flight that another host last reported.
 type peerReport struct {
-	receivedAt boottime.Instant
+	validUntil boottime.Instant
 	counts     map[string]int // by upstream ID
 }
 
@@ -34,17 +29,19 @@
 	return counts
 }
 
-// SetPeerInflightCounts replaces the last report of another host. Its cost depends on the
-// upstreams in the two reports, not on the numbers of hosts and upstreams.
-func (p *Pool) SetPeerInflightCounts(host string, counts map[string]int, now boottime.Instant) {
+// SetPeerInflightCounts replaces the last report of another host, which is valid for the
+// given time. Its cost depends on the upstreams in the two reports, not on the numbers of
+// hosts and upstreams.
+func (p *Pool) SetPeerInflightCounts(host string, counts map[string]int, validFor time.Duration, now boottime.Instant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	validUntil := now.Add(validFor)
 	p.addPeerRequests(p.peerReports[host].counts, -1)
-	p.peerReports[host] = peerReport{receivedAt: now, counts: counts}
+	p.peerReports[host] = peerReport{validUntil: validUntil, counts: counts}
 	p.addPeerRequests(counts, 1)
 	for id := range counts {
 		if u := p.upstreams[id]; u != nil {
-			u.peerReportedAt = now
+			u.peerValidUntil = validUntil
 		}
 	}
 	if now.Before(p.nextPeerExpiry) {
@@ -52,7 +49,7 @@
 	}
 	p.nextPeerExpiry = now.Add(peerExpiryInterval)
 	for name, report := range p.peerReports {
-		if now.Sub(report.receivedAt) > peerReportTTL {
+		if now > report.validUntil {
 			p.addPeerRequests(report.counts, -1)
 			delete(p.peerReports, name)
 		}
--- a/internal/placement/peers_bench_test.go
+++ b/internal/placement/peers_bench_test.go
@@ -28,6 +28,6 @@
 	b.ResetTimer()
 	for i := range b.N {
 		now = now.Add(3 * time.Millisecond)
-		pool.SetPeerInflightCounts(fmt.Sprintf("h-%d", i%32), reports[i%32], now)
+		pool.SetPeerInflightCounts(fmt.Sprintf("h-%d", i%32), reports[i%32], 500*time.Millisecond, now)
 	}
 }
--- a/internal/placement/peers_test.go
+++ b/internal/placement/peers_test.go
@@ -15,6 +15,7 @@
 // The sums that are kept per upstream equal those of all valid reports, through random
 // histories of reports, silent hosts and upstreams that leave, return and restart.
 func TestPeerRequestsEqualTheSumOfValidReports(t *testing.T) {
+	const validFor = 500 * time.Millisecond
 	rapid.Check(t, func(t *rapid.T) {
 		pool, now := NewPool(Settings{Host: "h", FailureDomain: "w1", Region: "west", Regions: map[string]string{"w1": "west"}}), boottime.Instant(time.Second)
 		type report struct {
@@ -44,15 +45,15 @@
 				}
 			}
 			host := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "host"))
-			pool.SetPeerInflightCounts(host, counts, now)
+			pool.SetPeerInflightCounts(host, counts, validFor, now)
 			last[host] = report{now, counts}
 			for id, u := range pool.upstreams {
 				least, most := 0, 0
 				for _, r := range last {
-					if now.Sub(r.at) <= peerReportTTL {
+					if now.Sub(r.at) <= validFor {
 						least += r.counts[id]
 					}
-					if now.Sub(r.at) <= peerReportTTL+peerExpiryInterval {
+					if now.Sub(r.at) <= validFor+peerExpiryInterval {
 						most += r.counts[id]
 					}
 				}
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -197,7 +197,7 @@
 			counts := sender.InflightCounts()
 			for k, receiver := range pools {
 				if k != i {
-					receiver.SetPeerInflightCounts(fmt.Sprint(i), counts, s.now)
+					receiver.SetPeerInflightCounts(fmt.Sprint(i), counts, 500*time.Millisecond, s.now)
 				}
 			}
 		}
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -53,7 +53,7 @@
 	slots          int
 
 	peerRequests   float64          // requests of the other hosts of this failure domain, as reported by them
-	peerReportedAt boottime.Instant // when peerRequests was last updated
+	peerValidUntil boottime.Instant // until when peerRequests is valid
 
 	slowdown               float64 // observed over expected service time
 	slowdownUpdatedAt      boottime.Instant
@@ -107,7 +107,7 @@
 // occupancy returns the expected number of requests at the upstream.
 func (u *upstream) occupancy(now boottime.Instant) float64 {
 	others := u.otherRequests * decay(now.Sub(u.upstreamLoadAt), upstreamLoadDecay)
-	if now.Sub(u.peerReportedAt) <= peerReportTTL {
+	if now <= u.peerValidUntil {
 		others = max(others, u.peerRequests)
 	}
 	return float64(u.inflight) + others
