--- a/internal/entry/forward/payload_rest_test.go
+++ b/internal/entry/forward/payload_rest_test.go
@@ -64,7 +64,14 @@
 	return p.restBegun
 }
 
-// channelReader reads the values of a channel.
+// channelReader reads the values of a channel. It fails if there is none for a second.
 type channelReader chan []byte
 
-func (r channelReader) Read(b []byte) (int, error) { return copy(b, <-r), nil }
+func (r channelReader) Read(b []byte) (int, error) {
+	select {
+	case value := <-r:
+		return copy(b, value), nil
+	case <-time.After(time.Second):
+		return 0, io.ErrNoProgress
+	}
+}
