gateway: keys are checked again once a request has its connection

Callers saw: a request that ran with a key withdrawn longer ago than the time allowed, after its host had stood still for some seconds.

Cause: keys were checked before an upstream was chosen; connecting, or a pause of the process, came after the check.

Change: the check that runs right before the first byte is written, which knew rests only, checks the age of the keys' proof too. Nothing is sent then, and the request is refused as not run.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -56,7 +58,7 @@
 			WroteRequest: func(httptrace.WroteRequestInfo) { placed.Sent(boottime.Now()) },
 		})
 	}
-	ctx = forward.WithSendCheck(ctx, func() error { return placed.CheckSend(boottime.Now()) })
+	ctx = forward.WithSendCheck(ctx, func() error { return x.checkSend(placed) })
 	x.gateway.links.Sent(placed.Upstream.ID, boottime.Now())
 	response, err := x.gateway.transports.forUpstream(placed.Upstream).RoundTrip(x.outboundRequest(ctx, placed))
 	if err != nil {
@@ -99,6 +101,24 @@
 	return a
 }
 
+// StaleKeysError reports that the keys were no longer proved current when a request had its
+// connection: the host stood still, or the connection took long. Nothing was sent.
+type StaleKeysError struct{ Age time.Duration }
+
+// Error implements error.
+func (e *StaleKeysError) Error() string {
+	return fmt.Sprintf("the keys were last proved current %v ago", e.Age)
+}
+
+// checkSend reports whether the request may still be sent, now that it has a connection.
+func (x *exchange) checkSend(placed *placement.Placement) error {
+	now := boottime.Now()
+	if age, current := x.gateway.keysCurrent(now); !current && !x.route.Open {
+		return &StaleKeysError{Age: age}
+	}
+	return placed.CheckSend(now)
+}
+
 // assertMaySend checks the invariants that must hold when a request is sent.
 func (x *exchange) assertMaySend(placed *placement.Placement) {
 	invariant.Check(x.route.Idempotent || !x.mayHaveRun, invariant.AtMostOnce,
@@ -168,7 +188,8 @@
 		return attemptOutcome{result: resultTooLarge}
 	}
 	var withheld *placement.WithheldError
-	if errors.As(err, &withheld) {
+	var stale *StaleKeysError
+	if errors.As(err, &withheld) || errors.As(err, &stale) {
 		placed.Done(placement.Report{Outcome: placement.OutcomeCancelled}, now)
 		return attemptOutcome{result: resultWithheld}
 	}
