--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -373,3 +373,17 @@
 
 // NewID returns an id for an attempt.
 func NewID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// Term asks the process to stop.
+func (h *Host) Term() { h.signal(syscall.SIGTERM) }
+
+// Hup tells the process that its settings may have changed.
+func (h *Host) Hup() { h.signal(syscall.SIGHUP) }
+
+func (h *Host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.command != nil {
+		_ = h.command.Process.Signal(s) // it may have ended already
+	}
+}
