--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -63,9 +63,13 @@
 // Trouble reports whether the case runs with its disruption.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
-// New prepares a case whose record is written to the file at recordPath.
-func New(recordPath string) *Rig {
+// New prepares a case. The argument of the command is the path of the record.
+func New() *Rig {
 	r := &Rig{start: time.Now()}
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "the path of the record is missing")
+		os.Exit(exitNotRun)
+	}
 	if _, err := os.Stat(program); err != nil {
 		fmt.Fprintln(os.Stderr, "the daemon has not been built:", err)
 		os.Exit(exitNotRun)
@@ -75,7 +79,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	if r.record, err = os.Create(recordPath); err != nil {
+	if r.record, err = os.Create(os.Args[1]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
@@ -373,17 +377,3 @@
 
 // NewID returns an id for an attempt.
 func NewID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
-
-// Term asks the process to stop.
-func (h *Host) Term() { h.signal(syscall.SIGTERM) }
-
-// Hup tells the process that its settings may have changed.
-func (h *Host) Hup() { h.signal(syscall.SIGHUP) }
-
-func (h *Host) signal(s syscall.Signal) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.command != nil {
-		_ = h.command.Process.Signal(s) // it may have ended already
-	}
-}
