--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -27,6 +28,9 @@
 	exitNotRun = 2
 )
 
+// maxLength limits a case.
+const maxLength = 118 * time.Second
+
 // program is the daemon as the deploy file builds it, relative to the repository's root.
 const program = "target/peridotraild"
 
@@ -85,9 +89,22 @@
 	}
 	r.chooseNetwork()
 	r.Note("disruption: %v", Trouble())
+	go r.endEarly()
 	return r
 }
 
+// endEarly ends the case, and the processes that it started, on a signal or after maxLength.
+func (r *Rig) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case s := <-signals:
+		r.Abort("%v", s)
+	case <-time.After(maxLength):
+		r.Abort("not done after %v", maxLength)
+	}
+}
+
 // chooseNetwork chooses a part of the loopback network on which the hosts' ports are free.
 func (r *Rig) chooseNetwork() {
 	for range 50 {
