--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,9 +1,10 @@
-// Command revoked shows that a host that starts again while the store has returned from an older
-// copy accepts a key that was taken away.
+// Command rolling shows that a host that leaves spends its share of a tenant's rate beside the
+// hosts that have taken the share over.
 package main
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -14,138 +15,214 @@
 
 const (
 	serviceHost = "places.example"
-	keptKey     = "key-that-stays"
-	revokedKey  = "key-that-is-taken-away"
-
-	revoke       = 5 * time.Second        // bound
-	answerDelay  = 4 * time.Millisecond   // of the store
-	restartDelay = 500 * time.Millisecond // until a process that was killed starts again
-
-	// Times since the key was taken away.
-	killAt    = 5500 * time.Millisecond
-	awayAt    = 4500 * time.Millisecond // the store is away for a moment
-	returnAt  = 5500 * time.Millisecond // from a copy that is copyAge old
-	copyAge   = 6 * time.Second
-	rewriteAt = 7000 * time.Millisecond // the operator has written again
-	endAt     = 9000 * time.Millisecond
+	key         = "key-of-clinic"
+
+	rate            = 200.0 // of the tenant, requests per second
+	burst           = 20.0
+	quotaWindow     = 5 * time.Second
+	quotaExcess     = 0.1
+	quotaSlack      = 20.0
+	usualRate       = rate / 1.6 // quota_x of the site
+	hotTenant       = 7.5        // times the usual requests
+	clientCount     = 36
+	requestDeadline = 4 * time.Second
+
+	// The store answers in 4 ms. It stands in ontario, 12 ms one way from the other regions.
+	nearDelay = 4 * time.Millisecond
+	farDelay  = nearDelay + 24*time.Millisecond
+
+	lookupTTL = 2 * time.Second // of the answers of the directory
+
+	beforeRestarts = 4 * time.Second
+	afterRestarts  = 5 * time.Second
 )
 
+// zonesOfHosts places three hosts, one in each region.
+var zonesOfHosts = []string{"toronto", "detroit", "cleveland"}
+
+// arrivals collects when requests were sent, and when a worker ran them.
+type arrivals struct {
+	mu   sync.Mutex
+	sent map[string]time.Time
+	ran  map[string]time.Time
+}
+
 func main() {
 	r := rig.New()
+	a := &arrivals{sent: map[string]time.Time{}, ran: map[string]time.Time{}}
 	store := platformtest.NewStore()
 	r.OnEnd(store.Close)
-	configuration := func(version int, keys ...string) string {
-		return rig.Configuration(version,
-			[]rig.Route{{Name: "r-lookup", Host: serviceHost, Prefix: "/board/", Kind: "idempotent", Service: "board", Timeout: 2 * time.Second}},
-			[]string{"board"}, []rig.Tenant{{Name: "clinic", Keys: keys, Rate: 1000, Burst: 1000}})
-	}
-	store.Put("op/config", configuration(3, keptKey, revokedKey))
-	ran := &runs{at: map[string]time.Time{}}
-	zones := []string{"toronto", "detroit", "cleveland"}
-	for i, zone := range zones {
+	store.Put("op/config", rig.Configuration(3,
+		[]rig.Route{{Name: "r-lookup", Host: serviceHost, Prefix: "/board/", Kind: "idempotent", Service: "board", Timeout: 2 * time.Second}},
+		[]string{"board"}, []rig.Tenant{{Name: "clinic", Keys: []string{key}, Rate: rate, Burst: burst}}))
+	for i, zone := range zonesOfHosts {
 		worker := platformtest.NewUpstream(fmt.Sprintf("i-%d", i))
 		r.OnEnd(worker.Close)
 		worker.SetHandler(func(w http.ResponseWriter, request *http.Request) {
-			id := request.Header.Get("Attempt-Id")
-			ran.add(id)
-			r.Note("run %s by %s", id, worker.ID)
+			now, id := time.Now(), request.Header.Get("Attempt-Id")
+			a.mu.Lock()
+			a.ran[id] = now
+			a.mu.Unlock()
+			r.NoteAt(now, "run %s by %s", id, worker.ID)
 			worker.Succeed(w, request)
 		})
 		store.Put("servers/"+worker.ID, worker.Entry("board", zone, "ready", 32))
 	}
-	way := r.NewProxy(store.Address(), answerDelay)
+	near, far := r.NewProxy(store.Address(), nearDelay), r.NewProxy(store.Address(), farDelay)
 	var hosts []*rig.Host
-	for i, zone := range zones {
+	for i, zone := range zonesOfHosts {
+		way := far
+		if zone == "toronto" || zone == "hamilton" {
+			way = near
+		}
 		hosts = append(hosts, r.Host(zone, i+1, way.Address()))
 	}
+	startAll(hosts)
+	time.Sleep(3 * time.Second) // the hosts know each other
+
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() { a.load(r, newClients(hosts), stop); close(done) }()
+	time.Sleep(beforeRestarts)
+	if rig.Trouble() {
+		for _, h := range hosts {
+			r.Note("%s gets SIGTERM", h.Name)
+			h.Term()
+			h.AwaitEnd(6 * time.Second) // the grace
+			h.Start()
+			h.AwaitReady(10 * time.Second)
+		}
+	}
+	time.Sleep(afterRestarts)
+	close(stop)
+	<-done
+
+	most, at := a.busiestWindow()
+	allowed := (rate*quotaWindow.Seconds()+burst)*(1+quotaExcess) + quotaSlack
+	r.Finish(float64(most) > allowed, "%d requests of the tenant were sent and run within %v from %.3f s on; allowed %.0f", most, quotaWindow, r.Since(at), allowed)
+}
+
+func startAll(hosts []*rig.Host) {
+	var all sync.WaitGroup
 	for _, h := range hosts {
-		h.Start()
+		all.Go(h.Start)
 	}
+	all.Wait()
 	for _, h := range hosts {
 		h.AwaitReady(10 * time.Second)
 	}
-	time.Sleep(4 * time.Second)
-
-	old := store.Copy()
-	time.Sleep(copyAge - returnAt)
-	newest := configuration(7, keptKey)
-	store.Put("op/config", newest)
-	revokedAt := time.Now()
-	r.Note("the store has accepted version 7, without the key %s", revokedKey)
-	at := func(after time.Duration, f func()) {
-		time.Sleep(time.Until(revokedAt.Add(after)))
-		f()
-	}
-	var background sync.WaitGroup
-	if rig.Trouble() {
-		background.Go(func() {
-			at(awayAt, func() {
-				r.Note("the store is away")
-				store.SetFault(platformtest.FaultUnavailable, "/")
-			})
-			at(returnAt, func() {
-				store.RollBack(old, "servers/")
-				store.SetFault(platformtest.FaultNone, "")
-				r.Note("the store is back from a copy %v old, era %d", copyAge, store.Era())
-			})
-			at(rewriteAt, func() {
-				store.Put("op/config", newest)
-				r.Note("the operator has written version 7 again")
-			})
-		})
-		background.Go(func() {
-			at(killAt, func() {
-				hosts[0].Kill()
-				time.Sleep(restartDelay)
-				hosts[0].Start()
-			})
-		})
+}
+
+// client is one of the tenant's clients, with what the directory told it.
+type client struct {
+	zone  string
+	hosts []*rig.Host // the nearest first
+	keeps time.Duration
+
+	mu        sync.Mutex // guards the fields below
+	addresses []string
+	asked     time.Time
+}
+
+// newClients returns clients in all zones. A third of them keep an answer of the directory three
+// times as long as it says.
+func newClients(hosts []*rig.Host) []*client {
+	var all []*client
+	for i := range clientCount {
+		n := i % len(hosts)
+		c := &client{zone: zonesOfHosts[n], hosts: append(append([]*rig.Host{}, hosts[n:]...), hosts[:n]...), keeps: lookupTTL}
+		if i%9 < 3 {
+			c.keeps = 3 * lookupTTL
+		}
+		all = append(all, c)
 	}
+	return all
+}
 
-	var requests sync.WaitGroup
-	late := &runs{at: map[string]time.Time{}} // sent later than the bound allows
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true}
-	for time.Since(revokedAt) < endAt {
-		for _, host := range hosts {
-			for _, key := range []string{keptKey, revokedKey} {
-				requests.Go(func() {
-					id := rig.NewID()
-					r.Note("send %s to %s with %s", id, host.Name, key)
-					if key == revokedKey && time.Since(revokedAt) > revoke {
-						late.add(id)
-					}
-					answer := r.Do(transport, rig.Request{Method: "GET", Address: host.Address(), Host: serviceHost, Target: "/board/1", Key: key, ID: id}, 2*time.Second)
-					r.Note("answer %s %d", id, answer.Status)
-				})
+// address returns the address to which the client sends its next request, but not failed if it
+// knows another one.
+func (c *client) address(failed string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.asked) > c.keeps {
+		c.asked = time.Now()
+		for _, h := range c.hosts {
+			if addresses := h.Addresses(c.zone); len(addresses) > 0 {
+				c.addresses = addresses
+				break
 			}
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
-	requests.Wait()
-	background.Wait()
+	if len(c.addresses) == 0 {
+		return c.hosts[0].Address()
+	}
+	address := c.addresses[rand.IntN(len(c.addresses))]
+	if address == failed && len(c.addresses) == 1 {
+		c.asked = time.Time{} // asks again before the next request
+	}
+	return address
+}
 
-	broken, first, last := 0, time.Duration(0), time.Duration(0)
-	for id, sent := range late.at {
-		if _, ok := ran.at[id]; !ok {
-			continue
-		}
-		after := sent.Sub(revokedAt)
-		if broken == 0 || after < first {
-			first = after
+// load sends the requests of the hot tenant.
+func (a *arrivals) load(r *rig.Rig, clients []*client, stop chan struct{}) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	var running sync.WaitGroup
+	defer running.Wait()
+	perSecond := usualRate * hotTenant
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
 		}
-		broken, last = broken+1, max(last, after)
+		running.Go(func() { a.call(r, transport, clients[rand.IntN(len(clients))]) })
 	}
-	r.Finish(broken > 0, "%d requests with the key ran that were sent from %.3f s to %.3f s after it was taken away; allowed until %v", broken, first.Seconds(), last.Seconds(), revoke)
 }
 
-// runs holds instants by id.
-type runs struct {
-	mu sync.Mutex
-	at map[string]time.Time
+// call sends one request and, if it was refused or found no host, sends it once more, as the
+// clients of the small deployment do.
+func (a *arrivals) call(r *rig.Rig, transport *http.Transport, c *client) {
+	begin, failed := time.Now(), ""
+	for try := range 2 {
+		address, id, now := c.address(failed), rig.NewID(), time.Now()
+		a.mu.Lock()
+		a.sent[id] = now
+		a.mu.Unlock()
+		r.NoteAt(now, "send %s to %s", id, address)
+		left := requestDeadline - now.Sub(begin)
+		answer := r.Do(transport, rig.Request{Method: "GET", Address: address, Host: serviceHost, Target: "/board/1", Key: key, ID: id}, left)
+		r.Note("answer %s %d", id, answer.Status)
+		if try > 0 {
+			return
+		}
+		switch {
+		case answer.NoHost:
+			failed = address
+		case answer.Status == http.StatusTooManyRequests || answer.Status == http.StatusServiceUnavailable:
+			time.Sleep(min(answer.RetryAfter, (requestDeadline-time.Since(begin))/3))
+		default:
+			return
+		}
+	}
 }
 
-func (r *runs) add(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.at[id] = time.Now()
+// busiestWindow returns the most requests that were both sent and run within one window, and
+// when that window begins.
+func (a *arrivals) busiestWindow() (most int, at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, begin := range a.sent {
+		n := 0
+		for id, ran := range a.ran {
+			if sent := a.sent[id]; !sent.Before(begin) && ran.Sub(begin) <= quotaWindow {
+				n++
+			}
+		}
+		if n > most {
+			most, at = n, begin
+		}
+	}
+	return most, at
 }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -394,3 +394,41 @@
 
 // NewID returns an id for an attempt.
 func NewID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// Term asks the process to stop.
+func (h *Host) Term() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.command != nil {
+		_ = h.command.Process.Signal(syscall.SIGTERM) // it may have ended already
+	}
+}
+
+// AwaitEnd waits until the process has ended.
+func (h *Host) AwaitEnd(limit time.Duration) {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if !h.Running() {
+			h.rig.Note("end %s", h.Name)
+			return
+		}
+	}
+	h.rig.Abort("%s has not ended", h.Name)
+}
+
+// Addresses asks the directory of the host for the addresses to connect to from a zone. It is
+// empty if there is no answer.
+func (h *Host) Addresses(zone string) []string {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get(fmt.Sprintf("http://%s:%d/resolve?name=places.example&region=%s&zone=%s", h.ip, directoryPort, zones[zone], zone))
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if json.NewDecoder(response.Body).Decode(&answer) != nil {
+		return nil
+	}
+	return answer.Addresses
+}
