--- a/review/3/main.go
+++ b/review/3/main.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"peridotrail/platform/platformtest"
@@ -24,6 +25,7 @@
 	quotaSlack      = 20.0
 	usualRate       = rate / 1.6 // quota_x of the site
 	hotTenant       = 7.5        // times the usual requests
+	hotTime         = 6500 * time.Millisecond
 	clientCount     = 36
 	requestDeadline = 4 * time.Second
 
@@ -42,7 +44,9 @@
 
 // arrivals collects when requests were sent, and when a worker ran them.
 type arrivals struct {
-	mu   sync.Mutex
+	hot atomic.Bool // the tenant sends hotTenant times its usual
+
+	mu   sync.Mutex // guards the fields below
 	sent map[string]time.Time
 	ran  map[string]time.Time
 }
@@ -83,6 +87,10 @@
 	stop, done := make(chan struct{}), make(chan struct{})
 	go func() { a.load(r, newClients(hosts), stop); close(done) }()
 	time.Sleep(beforeRestarts)
+	a.hot.Store(true)
+	r.Note("the tenant is hot")
+	cool := time.AfterFunc(hotTime, func() { a.hot.Store(false) })
+	defer cool.Stop()
 	if rig.Trouble() {
 		for _, h := range hosts {
 			r.Note("%s gets SIGTERM", h.Name)
@@ -162,21 +170,23 @@
 	return address
 }
 
-// load sends the requests of the hot tenant.
+// load sends the requests of the tenant.
 func (a *arrivals) load(r *rig.Rig, clients []*client, stop chan struct{}) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	var running sync.WaitGroup
 	defer running.Wait()
-	perSecond := usualRate * hotTenant
-	ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
-	defer ticker.Stop()
-	for {
+	for next := time.Now(); ; {
 		select {
 		case <-stop:
 			return
-		case <-ticker.C:
+		case <-time.After(time.Until(next)):
+		}
+		perSecond := usualRate
+		if a.hot.Load() {
+			perSecond *= hotTenant
 		}
+		next = next.Add(time.Duration(float64(time.Second) / perSecond))
 		running.Go(func() { a.call(r, transport, clients[rand.IntN(len(clients))]) })
 	}
 }
