placement: use the load of upstreams that also report the speed of their machine

The figure now counts with a time constant of 300 ms, since it changes several times a second, and is not learned as a slowdown of the upstream a second time.

--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -91,6 +91,9 @@
 	u := p.chosen.upstream
 	u.inflight--
 	p.recordSent(now)
+	if report.Load != nil {
+		u.recordLoad(*report.Load, now) // first: its slowdown explains the time of this response
+	}
 	switch report.Outcome {
 	case OutcomeAnswered:
 		p.learnFromResponse(report, now)
@@ -109,9 +112,6 @@
 		p.learnFromExpiry(now)
 	case OutcomeCancelled, OutcomeRest:
 	}
-	if report.Load != nil {
-		u.recordLoad(*report.Load, now)
-	}
 }
 
 // observedServiceTime returns the time in the slot in ms: the time since the start
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -11,6 +11,9 @@
 // Load is the load that an upstream reported with a response, in requests.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the upstream's machine at the moment, relative to
+	// the usual time; zero if not reported.
+	Slowdown float64
 }
 
 const (
@@ -23,6 +26,9 @@
 	// slowdownRecovery is the time constant with which the slowdown returns to 1
 	// without new samples.
 	slowdownRecovery = 6 * time.Second
+	// reportedSlowdownDecay is the time constant with which a slowdown that an upstream
+	// reported loses weight. The figure changes several times a second.
+	reportedSlowdownDecay = 300 * time.Millisecond
 	// slowdownWeight is the weight of a new sample in the slowdown.
 	slowdownWeight = 0.2
 	// failureWeight is the fraction by which a failure lowers the success probability;
@@ -55,8 +61,9 @@
 	peerRequests   float64          // requests of the other hosts of this failure domain, as reported by them
 	peerValidUntil boottime.Instant // until when peerRequests is valid
 
-	slowdown               float64 // observed over expected service time
+	slowdown               float64 // observed over expected service time, beyond what is reported
 	slowdownUpdatedAt      boottime.Instant
+	reportedSlowdown       float64 // of the machine, 1 if none was reported; with the load last reported
 	successProbability     float64 // probability that a request is answered
 	successUpdatedAt       boottime.Instant
 	sends                  *sendCount
@@ -73,7 +80,7 @@
 func newUpstream(entry catalog.Upstream, region string, sends *sendCount, limit *requestLimit, announced *announcements) *upstream {
 	return &upstream{
 		Upstream: entry, region: region, slots: max(entry.Slots, 1),
-		slowdown: 1, successProbability: 1,
+		slowdown: 1, reportedSlowdown: 1, successProbability: 1,
 		sends: sends, limit: limit, announced: announced,
 	}
 }
@@ -120,7 +127,10 @@
 	}
 	others := max(0, float64(load.Running+load.Waiting-u.inflight))
 	u.otherRequests = (u.otherRequests*decay(now.Sub(u.upstreamLoadAt), upstreamLoadDecay) + others) / 2
-	u.upstreamLoadAt = now
+	u.upstreamLoadAt, u.reportedSlowdown = now, 1
+	if load.Slowdown > 0 {
+		u.reportedSlowdown = load.Slowdown
+	}
 }
 
 func (u *upstream) currentSuccessProbability(now boottime.Instant) float64 {
@@ -136,14 +146,25 @@
 	u.successProbability, u.successUpdatedAt = u.currentSuccessProbability(now)*(1-failureWeight), now
 }
 
+// currentSlowdown returns the expected time in the slot relative to the usual one: what was
+// learned from responses times what the upstream reported.
 func (u *upstream) currentSlowdown(now boottime.Instant) float64 {
+	return u.learnedSlowdown(now) * u.machineSlowdown(now)
+}
+
+func (u *upstream) learnedSlowdown(now boottime.Instant) float64 {
 	return 1 + (u.slowdown-1)*decay(now.Sub(u.slowdownUpdatedAt), slowdownRecovery)
 }
 
-// recordSlowdown adds a sample of observed over expected service time.
+func (u *upstream) machineSlowdown(now boottime.Instant) float64 {
+	return 1 + (u.reportedSlowdown-1)*decay(now.Sub(u.upstreamLoadAt), reportedSlowdownDecay)
+}
+
+// recordSlowdown adds a sample of observed over expected service time. The part that the
+// upstream's machine explains is not learned.
 func (u *upstream) recordSlowdown(ratio float64, now boottime.Instant) {
-	ratio = min(max(ratio, 0.3), 20)
-	s := u.currentSlowdown(now)
+	ratio = min(max(ratio/u.machineSlowdown(now), 0.3), 20)
+	s := u.learnedSlowdown(now)
 	u.slowdown, u.slowdownUpdatedAt = s+slowdownWeight*(ratio-s), now
 }
 
