quota: divide the rates of client accounts by leased shares

Each host computed its share from the hosts that it knew.

The rate is now divided into parts that belong to the leased shares of the failure domains, and the holder of a share holds its parts, while its lease is certain to exist. A new holder begins without tokens. Shares of a region without hosts are claimed by others. A host that starts in an era of the store that others have seen for long enough uses shares at once.

A host that had spent its only token also borrowed a second one for the requests that it expected, which expired unused, and asked two hosts for it.

--- a/internal/gateway/cold_fleet_test.go
+++ b/internal/gateway/cold_fleet_test.go
@@ -195,6 +195,8 @@
 	offlineSince boottime.Instant
 	startAt      boottime.Instant // of a host that is down
 	incarnation  int64
+	peerAddress  string                      // empty: it can't be asked for tokens
+	leaving      bool                        // it renews no registration any more
 	refusedBy    map[string]boottime.Instant // last refused connection, by upstream
 	toldLimit    map[string]boottime.Instant // first response that named the current limit, by upstream
 }
@@ -208,7 +210,8 @@
 	limit                           int     // requests that a cold upstream may get within one second
 	runsToday                       bool    // it is the region of a deployment that runs today
 	regions                         int     // to which the failure domains belong in turn; zero: one
-	addedHosts                      int     // hosts beyond hosts in each failure domain, of the first domains
+	accounts                        []routing.Account
+	addedHosts                      int // hosts beyond hosts in each failure domain, of the first domains
 }
 
 func newShape(name string, domains, hosts, upstreams int, rate, excess, slack, demand float64) fleetShape {
@@ -341,8 +344,9 @@
 		RetryWindow: modelRetryWindow, RetryRatio: 0.2, RetrySlack: modelRetrySlack,
 		MaxShift: 0.15, ColdExcess: f.shape.coldExcess, ColdSlack: f.shape.coldSlack,
 	})
-	policy := routing.Policy{Version: 1, Services: []routing.Service{{Name: "s", ColdStart: modelColdStart, ColdRate: f.shape.coldRate}}}
-	s := newState(live, modelSchema{policy}, log.NewNopLogger(), newLimits(live, log.NewNopLogger()), func() boottime.Instant { return f.now }, func() boottime.Instant { return h.syncedAt })
+	policy := routing.Policy{Version: 1, Accounts: f.shape.accounts, Services: []routing.Service{{Name: "s", ColdStart: modelColdStart, ColdRate: f.shape.coldRate}}}
+	clock := func() boottime.Instant { return f.now }
+	s := newState(live, modelSchema{policy}, log.NewNopLogger(), newLimits(live, log.NewNopLogger(), clock), clock, func() boottime.Instant { return h.syncedAt })
 	s.onUpstreams = func([]catalog.Upstream) {}
 	s.Reset(f.store.snapshot(), f.store.revision, false)
 	h.era = f.store.revision.Era
@@ -375,7 +379,7 @@
 		h.applied, h.syncedAt = len(f.store.changes), f.now
 		h.nextSync = f.now.Add(f.randomTime(100*time.Millisecond, modelMaxSync))
 	}
-	if !f.now.Before(h.nextRenewal) {
+	if !f.now.Before(h.nextRenewal) && !h.leaving {
 		f.renewRegistration(h)
 	}
 	if !f.now.Before(h.nextClaim) {
@@ -445,7 +449,7 @@
 		return
 	}
 	h.lease = f.store.grant(hostLeaseTTL)
-	host := catalog.Host{Name: h.name, EntryAddress: "127.0.0.1:1", FailureDomain: h.domain, Region: f.domains[h.domain], Incarnation: h.incarnation}
+	host := catalog.Host{Name: h.name, EntryAddress: "127.0.0.1:1", PeerAddress: h.peerAddress, FailureDomain: h.domain, Region: f.domains[h.domain], Incarnation: h.incarnation}
 	f.store.put(fmt.Sprintf("%s%s/%v", registration.Prefix, h.name, h.lease), host, h.lease)
 }
 
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -134,7 +134,7 @@
 	}
 	if status == http.StatusTooManyRequests && x.account != nil {
 		bucket := x.gateway.limits.bucketSnapshot(x.account.Name)
-		fields = append(fields, "rate", bucket.totalRate, "share", bucket.Rate(), "tokens", roundToHundredths(bucket.Tokens()), "demand", roundToHundredths(bucket.DemandRate()))
+		fields = append(fields, "rate", bucket.limit.rate, "share", bucket.Rate(), "tokens", roundToHundredths(bucket.Tokens()), "usable", x.gateway.state.shares.Leased(boottime.Now()), "demand", roundToHundredths(bucket.DemandRate()))
 	}
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name, "service", x.service, "object", x.call.Object)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,7 +73,7 @@
 		dialect:    o.Dialect,
 		logger:     o.Logger,
 		store:      o.Store,
-		limits:     newLimits(settings, o.Logger),
+		limits:     newLimits(settings, o.Logger, boottime.Now),
 		splitter:   newSplitter(),
 		metrics:    newRequestMetrics(o.Metrics),
 		logLimiter: &logLimiter{logger: o.Logger},
@@ -96,6 +96,7 @@
 		Source: changefeed.NewClient(), MaxDelay: o.Settings.PolicyDelay,
 	})
 	g.metrics.showBodyMemory(g.bodies.Free)
+	g.metrics.showShares(g.limits.shares.HeldShares, func() bool { return g.limits.shares.Leased(boottime.Now()) })
 	g.metrics.showStore(o.Store.Eras(), func() time.Duration { return boottime.Now().Sub(g.replica.Proof()) })
 	return g
 }
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -4,27 +4,19 @@
 	"net/netip"
 
 	"peridotrail/internal/catalog"
-	"peridotrail/internal/quota"
 	"peridotrail/internal/replica"
 )
 
-// newDivision returns the division of the client accounts' rates among hosts.
-func newDivision(hosts []catalog.Host, settings Settings) *quota.Division {
-	holders := make([]quota.Holder, 0, len(hosts))
+// peersOf returns the other hosts that can be asked for tokens, by name. Hosts without a
+// valid address, such as those of other versions, are left out.
+func peersOf(hosts []catalog.Host, settings Settings) map[string]peer {
+	peers := make(map[string]peer, len(hosts))
 	for _, host := range hosts {
-		holders = append(holders, newHolder(host))
-	}
-	return quota.NewDivision(quota.Holder{Name: settings.Host, FailureDomain: settings.FailureDomain, Region: settings.Region}, holders)
-}
-
-// newHolder returns a host as a holder of shares. Its address is empty if the host
-// can't be asked for tokens: hosts of other versions may not lend.
-func newHolder(host catalog.Host) quota.Holder {
-	h := quota.Holder{Name: host.Name, FailureDomain: host.FailureDomain, Region: host.Region}
-	if address, err := netip.ParseAddrPort(host.PeerAddress); err == nil {
-		h.Address = address
+		if address, err := netip.ParseAddrPort(host.PeerAddress); err == nil && host.Name != settings.Host {
+			peers[host.Name] = peer{address: address, near: host.FailureDomain == settings.FailureDomain}
+		}
 	}
-	return h
+	return peers
 }
 
 // domainPeersOf returns the other hosts of this host's failure domain.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -26,15 +26,31 @@
 	settings *liveSettings
 	logger   log.Logger
 	shares   *leasedshare.Holder
+	division *leasedshare.Division
+	clock    boottime.Clock
 
 	mu            sync.Mutex // guards the fields below
 	table         *routing.Table
 	hosts         []catalog.Host
-	buckets       map[uint64]*rateBucket        // by the hash of the client account
+	peers         map[string]peer               // other hosts that can be asked for tokens, by name
+	rates         map[uint64]accountRate        // of the limited accounts, by the hash of the client account
+	buckets       map[uint64]*rateBucket        // by the same hash, of accounts that had requests
 	retryBudgets  map[string]*quota.RetryBudget // by service
 	requestTokens requestTokensFunc             // asks other hosts
 }
 
+// peer is another host that may hold shares of rates.
+type peer struct {
+	address netip.AddrPort
+	near    bool // in the failure domain of this host
+}
+
+// accountRate is the limit of a client account.
+type accountRate struct {
+	rate, burst float64 // of all hosts together: requests per second, requests
+	parts       int     // into which the rate is divided
+}
+
 // requestTokensFunc asks other hosts to lend tokens of a client account, near hosts
 // first. It reports whether a reply is expected.
 type requestTokensFunc func(account uint64, want float64, near, far []netip.AddrPort) bool
@@ -42,16 +58,26 @@
 // rateBucket is this host's token bucket for one client account.
 type rateBucket struct {
 	quota.Bucket
-	totalRate float64          // of all hosts together, requests per second
-	near, far []netip.AddrPort // hosts that may lend tokens, in the own failure domain and elsewhere
+	limit     accountRate      // for which the share was computed
+	held      uint64           // version of the shares for which it was computed
 	replied   chan struct{}    // closed and replaced when a host replies to a request for tokens
+	near, far []netip.AddrPort // hosts that may lend tokens, in the own failure domain and elsewhere
+	lendersAt boottime.Instant // when these were determined
 }
 
-func newLimits(settings *liveSettings, logger log.Logger) *limits {
+// lendersTTL is how long the hosts that hold shares of a rate are taken from the last search.
+// They change when hosts join or leave; a host that has none any longer replies so.
+const lendersTTL = 500 * time.Millisecond
+
+func newLimits(settings *liveSettings, logger log.Logger, clock boottime.Clock) *limits {
 	initial := settings.get()
+	regions := initial.allRegions()
 	return &limits{
-		settings: settings, logger: logger,
-		shares:        leasedshare.NewHolder(leasedshare.Options{Host: initial.Host, FailureDomain: initial.FailureDomain, Regions: initial.Regions, LeaseTTL: initial.leaseTTL()}),
+		settings: settings, logger: logger, clock: clock,
+		shares:        leasedshare.NewHolder(leasedshare.Options{Host: initial.Host, FailureDomain: initial.FailureDomain, Regions: regions, LeaseTTL: initial.leaseTTL()}),
+		division:      leasedshare.NewDivision(regions),
+		peers:         map[string]peer{},
+		rates:         map[uint64]accountRate{},
 		buckets:       map[uint64]*rateBucket{},
 		retryBudgets:  map[string]*quota.RetryBudget{},
 		requestTokens: func(uint64, float64, []netip.AddrPort, []netip.AddrPort) bool { return false },
@@ -68,55 +94,77 @@
 // accountHash returns the hash by which hosts refer to a client account.
 func accountHash(name string) uint64 { return xxhash.Sum64String(name) }
 
-// minShareBurst is the smallest burst of a share, in tokens. With a burst of 1, a
-// host would reject the second of two requests that arrive together.
-const minShareBurst = 2
-
-// update recomputes this host's shares if the policy or the set of hosts changed.
-func (l *limits) update(table *routing.Table, hosts []catalog.Host, now boottime.Instant) {
+// update takes over the policy and the set of hosts.
+func (l *limits) update(table *routing.Table, hosts []catalog.Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	unchanged := l.table == table && slices.Equal(l.hosts, hosts)
-	l.table, l.hosts = table, hosts
-	if table == nil || unchanged {
+	if !slices.Equal(l.hosts, hosts) {
+		l.hosts, l.peers = hosts, peersOf(hosts, *l.settings.get())
+	}
+	if table == nil || l.table == table {
 		return
 	}
-	division := newDivision(hosts, *l.settings.get())
-	limited := make(map[uint64]bool, len(l.buckets))
+	l.table = table
+	rates := make(map[uint64]accountRate, len(l.rates))
 	for _, account := range table.Accounts() {
-		if account.Rate > 0 {
-			hash := accountHash(account.Name)
-			limited[hash] = true
-			l.setShare(hash, account, division, now)
+		if account.Rate <= 0 {
+			continue
+		}
+		hash := accountHash(account.Name)
+		limit := accountRate{rate: account.Rate, burst: account.Burst, parts: quota.Parts(account.Rate, l.division.Regions(), l.division.MaxParts())}
+		if before := l.rates[hash]; before != limit {
+			_ = level.Info(l.logger).Log("event", "account rate", "account", account.Name, "rate", account.Rate, "burst", account.Burst,
+				"before", before.rate, "parts", limit.parts, "version", table.Version())
 		}
+		rates[hash] = limit
 	}
+	l.rates = rates
 	for hash := range l.buckets {
-		if !limited[hash] {
+		if _, limited := rates[hash]; !limited {
 			delete(l.buckets, hash)
 		}
 	}
 }
 
-// setShare sets this host's share of one client account's rate. The caller holds
-// mu.
-func (l *limits) setShare(hash uint64, account routing.Account, division *quota.Division, now boottime.Instant) {
+// bucket returns the bucket of a client account with this host's share of its rate as of
+// now, nil if its rate is not limited. The caller holds mu.
+func (l *limits) bucket(hash uint64, now boottime.Instant) *rateBucket {
+	limit, limited := l.rates[hash]
+	if !limited {
+		return nil
+	}
+	held, usable := l.shares.Held(now)
 	bucket := l.buckets[hash]
 	if bucket == nil {
 		bucket = &rateBucket{replied: make(chan struct{})}
 		l.buckets[hash] = bucket
 	}
-	share := division.Share(hash, account.Rate)
-	if account.Rate != bucket.totalRate {
-		_ = level.Info(l.logger).Log("event", "account rate", "account", account.Name, "rate", account.Rate, "burst", account.Burst,
-			"before", bucket.totalRate, "share", share, "version", l.table.Version())
+	if bucket.limit != limit || bucket.held != held.Version {
+		parts, kept := held.Parts(l.division, limit.parts, hash, bucket.RefilledAt())
+		bucket.SetShare(quota.PartsOf(limit.rate, limit.burst, kept, limit.parts), quota.PartsOf(limit.rate, limit.burst, parts, limit.parts), now)
+		bucket.SetRegionRate(limit.rate * l.division.RegionFraction(l.settings.get().Region, limit.parts, hash))
+		bucket.limit, bucket.held = limit, held.Version
 	}
-	bucket.totalRate = account.Rate
-	bucket.near, bucket.far = division.Lenders(hash, account.Rate)
-	bucket.SetRegionRate(account.Rate * division.RegionShare(hash, account.Rate))
-	if share > 0 {
-		bucket.SetLimit(account.Rate*share, max(account.Burst*share, minShareBurst), now)
-	} else {
-		bucket.SetLimit(0, 0, now)
+	bucket.Suspend(!usable)
+	return bucket
+}
+
+// findLenders determines the hosts that hold shares of a bucket's rate, unless that was done
+// a short time ago. The caller holds mu.
+func (l *limits) findLenders(hash uint64, bucket *rateBucket, now boottime.Instant) {
+	if now.Sub(bucket.lendersAt) < lendersTTL && bucket.lendersAt != 0 {
+		return
+	}
+	bucket.lendersAt, bucket.near, bucket.far = now, nil, nil
+	for _, name := range l.shares.HoldersOf(l.division, bucket.limit.parts, hash) {
+		p, known := l.peers[name]
+		switch {
+		case !known:
+		case p.near:
+			bucket.near = append(bucket.near, p.address)
+		default:
+			bucket.far = append(bucket.far, p.address)
+		}
 	}
 }
 
@@ -141,10 +189,10 @@
 // failure it returns the time after which the caller may retry.
 func (l *limits) takeToken(ctx context.Context, account string) (bool, time.Duration) {
 	hash := accountHash(account)
-	deadline := boottime.Now().Add(maxTokenWait)
+	deadline := l.clock().Add(maxTokenWait)
 	for first := true; ; first = false {
 		attempt := l.tryToken(hash, first)
-		remaining := deadline.Sub(boottime.Now())
+		remaining := deadline.Sub(l.clock())
 		if attempt.untilNextToken > 0 && attempt.untilNextToken < remaining {
 			remaining = max(attempt.untilNextToken, minTokenWait)
 		} else if attempt.replied == nil {
@@ -182,12 +230,12 @@
 // bucket runs short. The first attempt of a request counts as demand.
 func (l *limits) tryToken(hash uint64, first bool) tokenAttempt {
 	l.mu.Lock()
-	bucket := l.buckets[hash]
+	now := l.clock()
+	bucket := l.bucket(hash, now)
 	if bucket == nil {
 		l.mu.Unlock()
 		return tokenAttempt{ok: true}
 	}
-	now := boottime.Now()
 	if first {
 		bucket.RecordDemand(now)
 	}
@@ -196,7 +244,11 @@
 	if !attempt.ok {
 		attempt.untilNextToken = bucket.OwnTokenDelay(now)
 	}
-	want, replied, near, far, requestTokens := bucket.TokensToBorrow(now), bucket.replied, bucket.near, bucket.far, l.requestTokens
+	want, replied, requestTokens := bucket.TokensToBorrow(!attempt.ok, now), bucket.replied, l.requestTokens
+	if want > 0 {
+		l.findLenders(hash, bucket, now)
+	}
+	near, far := bucket.near, bucket.far
 	l.mu.Unlock()
 	if want > 0 && requestTokens(hash, want, near, far) && !attempt.ok {
 		attempt.replied = replied
@@ -219,8 +271,9 @@
 func (l *limits) Lend(account uint64, want float64) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if bucket := l.buckets[account]; bucket != nil {
-		return bucket.Lend(want, boottime.Now())
+	now := l.clock()
+	if bucket := l.bucket(account, now); bucket != nil {
+		return bucket.Lend(want, now)
 	}
 	return 0
 }
@@ -230,7 +283,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if bucket := l.buckets[account]; bucket != nil {
-		bucket.Borrow(granted, boottime.Now())
+		bucket.Borrow(granted, l.clock())
 		close(bucket.replied)
 		bucket.replied = make(chan struct{})
 	}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -11,6 +11,8 @@
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
+	"peridotrail/internal/kvstore"
+	"peridotrail/internal/leasedshare"
 	"peridotrail/internal/routing"
 )
 
@@ -19,8 +21,17 @@
 func singleHostLimits(t *testing.T, rate float64) *limits {
 	t.Helper()
 	table := routing.NewTable(routing.Policy{Version: 1, Accounts: []routing.Account{{Name: "clinic", Rate: rate, Burst: rate}}})
-	l := newLimits(newLiveSettings(Settings{Host: "h", FailureDomain: "w1", Region: "west"}), log.NewNopLogger())
-	l.update(table, []catalog.Host{{Name: "h", FailureDomain: "w1", Region: "west"}}, boottime.Now())
+	l := newLimits(newLiveSettings(Settings{Host: "h", FailureDomain: "w1", Region: "west"}), log.NewNopLogger(), boottime.Now)
+	hosts := []catalog.Host{{Name: "h", FailureDomain: "w1", Region: "west"}}
+	l.update(table, hosts)
+	started := boottime.Now().Add(-time.Minute)
+	l.shares.Reset(nil, 0, started)
+	l.shares.SetHosts(hosts, started)
+	l.shares.SetLease(kvstore.LeaseID{Number: 1}, boottime.Now().Add(time.Hour), started)
+	claim, due := l.shares.Next(boottime.Now())
+	require.True(t, due)
+	l.shares.Finish(claim, nil, boottime.Now())
+	require.Equal(t, leasedshare.SharesPerGroup, l.shares.HeldShares())
 	return l
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,6 +41,18 @@
 	metrics.NewRegisteredFunctionalGauge("body.memory.free.bytes", m.registry, free)
 }
 
+// showShares adds gauges of the shares of limits that this host holds, and of whether it may
+// use them now.
+func (m *requestMetrics) showShares(held func() int, leased func() bool) {
+	metrics.NewRegisteredFunctionalGauge("limit.shares.held", m.registry, func() int64 { return int64(held()) })
+	metrics.NewRegisteredFunctionalGauge("limit.shares.usable", m.registry, func() int64 {
+		if leased() {
+			return 1
+		}
+		return 0
+	})
+}
+
 // showPolicyProblems sets the gauge of the entries of the policy in force that are not
 // applied as they are.
 func (m *requestMetrics) showPolicyProblems(n int) {
--- a/internal/gateway/retention_test.go
+++ b/internal/gateway/retention_test.go
@@ -23,7 +23,7 @@
 func newRollbackState() *rollbackState {
 	s := &rollbackState{now: boottime.Instant(time.Hour), revision: kvstore.Revision{Era: 2, Number: 100}}
 	live := newLiveSettings(Settings{Host: "h", FailureDomain: "w1", Region: "west", Regions: map[string]string{"w1": "west"}, RetryWindow: time.Second})
-	s.state = newState(live, fakeSchema{}, log.NewNopLogger(), newLimits(live, log.NewNopLogger()), func() boottime.Instant { return s.now }, boottime.Now)
+	s.state = newState(live, fakeSchema{}, log.NewNopLogger(), newLimits(live, log.NewNopLogger(), boottime.Now), func() boottime.Instant { return s.now }, boottime.Now)
 	s.onUpstreams = func([]catalog.Upstream) {}
 	return s
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync/atomic"
 	"time"
 )
@@ -142,5 +143,15 @@
 	return identityDiffers
 }
 
+// allRegions returns the region of each failure domain, that of this host included.
+func (s Settings) allRegions() map[string]string {
+	regions := maps.Clone(s.Regions)
+	if regions == nil {
+		regions = map[string]string{}
+	}
+	regions[s.FailureDomain] = s.Region
+	return regions
+}
+
 // leaseTTL returns how long the lease of this host's registration lasts after a renewal.
 func (s Settings) leaseTTL() time.Duration { return max(hostLeaseTTL, s.MinLeaseTTL) }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -353,7 +353,7 @@
 	s.hosts.Store(&hosts)
 	s.shares.SetHosts(hosts, s.clock())
 	s.onHosts(hosts)
-	s.limits.update(s.table.Load(), hosts, s.clock())
+	s.limits.update(s.table.Load(), hosts)
 }
 
 // setOnHosts sets the function that is called with all known hosts after each
--- a/internal/gateway/state_model_test.go
+++ b/internal/gateway/state_model_test.go
@@ -102,7 +102,7 @@
 func TestStateModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		live := newLiveSettings(Settings{Host: "h", FailureDomain: "w1", Region: "west", Regions: map[string]string{"w1": "west"}, RetryWindow: time.Second})
-		s := newState(live, fakeSchema{}, log.NewNopLogger(), newLimits(live, log.NewNopLogger()), boottime.Now, boottime.Now)
+		s := newState(live, fakeSchema{}, log.NewNopLogger(), newLimits(live, log.NewNopLogger(), boottime.Now), boottime.Now, boottime.Now)
 		s.onUpstreams = func([]catalog.Upstream) {}
 		expected := expectedState{upstreams: map[string]bool{}, evacuated: map[string]bool{}}
 		store := map[string]kvstore.Entry{}
--- a/internal/leasedshare/holder.go
+++ b/internal/leasedshare/holder.go
@@ -18,9 +18,17 @@
 	MaxSendDelay = 500 * time.Millisecond
 	// claimDelay is how long the set of hosts must have been unchanged before a share
 	// without a holder is claimed, unless it has had none for maxClaimDelay. Hosts that
-	// start together would claim each other's shares otherwise.
-	claimDelay    = 1 * time.Second
-	maxClaimDelay = 3 * time.Second
+	// start together would claim each other's shares otherwise. It is the time in which a
+	// registration becomes known to all hosts; requests of limited accounts are refused
+	// meanwhile if all hosts have just started.
+	claimDelay    = 400 * time.Millisecond
+	maxClaimDelay = 1 * time.Second
+	// orphanDelay is how long after the last host of a region has gone the hosts of other
+	// regions claim its shares.
+	orphanDelay = 1 * time.Second
+	// startOrphanDelay is the same for a region of which this process has seen no host. It is
+	// longer than hosts that start together take to register.
+	startOrphanDelay = 5 * time.Second
 	// moveDelay is how long the set of hosts must have been unchanged before a host
 	// gives up shares that another host should hold.
 	moveDelay = 2 * time.Second
@@ -45,16 +53,25 @@
 	options Options
 
 	mu           sync.Mutex        // guards the fields below
-	hosts        map[string]string // failure domain of each known host of the region, this one included
+	hosts        map[string]string // failure domain of each known host of any region, this one included
 	registered   bool              // this host has read its own registration
 	hostsChanged boottime.Instant
+	hostsSet     bool
+	orphanedFrom map[string]boottime.Instant // when the shares of a region without hosts may be claimed
 	shares       map[share]*record
 	loaded       boottime.Instant // when the first view of the store was complete, zero before
 	lease        kvstore.LeaseID
-	leaseValid   boottime.Instant                  // the lease is certain to exist until then
-	era          kvstore.Era                       // the era seen last
-	eraSeen      boottime.Instant                  // when this process first saw it
-	viewEra      kvstore.Era                       // era of the view of the store
+	leaseValid   boottime.Instant // the lease is certain to exist until then
+	era          kvstore.Era      // the era seen last
+	eraSeen      boottime.Instant // when this process first saw it
+	viewEra      kvstore.Era      // era of the view of the store
+	settledEra   kvstore.Era      // the era that settledKey names
+	settleRetry  boottime.Instant // when settledKey may be written
+	settledAt    kvstore.Revision // of settledKey
+	version      uint64           // changes with the shares that are held
+	held         *Held            // as of heldVersion and heldSettled
+	heldVersion  uint64
+	heldSettled  bool
 	assigned     map[string][SharesPerGroup]string // results of assign by group, for the hosts known now
 }
 
@@ -70,6 +87,7 @@
 	heldUnder kvstore.LeaseID // zero if it is not held
 	heldFrom  boottime.Instant
 	readBack  bool // this host has read its claim in the store
+	carried   bool // this process held the share when the era before the current one ended
 
 	retryAt boottime.Instant
 }
@@ -77,7 +95,7 @@
 // NewHolder returns a holder without shares.
 func NewHolder(options Options) *Holder {
 	return &Holder{
-		options: options, hosts: map[string]string{options.Host: options.FailureDomain},
+		options: options, hosts: map[string]string{options.Host: options.FailureDomain}, orphanedFrom: map[string]boottime.Instant{},
 		shares: map[share]*record{}, assigned: map[string][SharesPerGroup]string{},
 	}
 }
@@ -102,11 +120,13 @@
 		h.loaded, h.hostsChanged = now, now
 	}
 	present := map[share]bool{}
+	h.settledEra, h.settledAt = 0, kvstore.Revision{}
 	for _, entry := range entries {
 		if s, ok := parseKey(entry.Key); ok {
 			present[s] = true
 			h.apply(s, entry, now)
 		}
+		h.readSettled(entry)
 	}
 	for s := range h.shares {
 		if !present[s] {
@@ -118,11 +138,16 @@
 // Apply updates the view of the store with a changed entry. Entries that are not
 // about shares are ignored.
 func (h *Holder) Apply(entry kvstore.Entry, now boottime.Instant) {
-	if s, ok := parseKey(entry.Key); ok {
-		h.mu.Lock()
-		defer h.mu.Unlock()
+	s, isShare := parseKey(entry.Key)
+	if !isShare && entry.Key != settledKey {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if isShare {
 		h.apply(s, entry, now)
 	}
+	h.readSettled(entry)
 }
 
 // enterEra gives up all shares if the era is another one than before: the claims may be gone,
@@ -131,10 +156,13 @@
 	if era == h.era {
 		return
 	}
+	leased := h.leased(now)
 	h.era, h.eraSeen = era, now
 	for _, r := range h.shares {
+		r.carried = leased && h.holds(r)
 		r.drop()
 	}
+	h.version++
 }
 
 // drop records that the share is not held.
@@ -154,26 +182,73 @@
 		r.readBack = true
 	case r.readBack:
 		r.drop()
+		h.version++
 	}
 }
 
-// SetHosts replaces the known hosts of this host's region. Shares without a holder are
-// not claimed before the hosts include this one.
+// SetHosts replaces the known hosts. Shares without a holder are not claimed before the hosts
+// include this one.
 func (h *Holder) SetHosts(hosts []catalog.Host, now boottime.Instant) {
 	known := map[string]string{}
 	for _, host := range hosts {
-		if host.Region == h.options.Regions[h.options.FailureDomain] {
-			known[host.Name] = host.FailureDomain
-		}
+		known[host.Name] = host.FailureDomain
 	}
 	_, registered := known[h.options.Host]
 	known[h.options.Host] = h.options.FailureDomain
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if registered != h.registered || !maps.Equal(known, h.hosts) {
-		h.hosts, h.registered, h.hostsChanged = known, registered, now
+	if !maps.Equal(known, h.hosts) {
+		before := h.regionHosts()
+		h.hosts = known
 		clear(h.assigned)
+		if !slices.Equal(before, h.regionHosts()) {
+			h.hostsChanged = now
+		}
+	}
+	if registered != h.registered {
+		h.registered, h.hostsChanged = registered, now
+	}
+	h.noteEmptyRegions(h.hostsSet, now)
+	h.hostsSet = true
+}
+
+// regionHosts returns the names of the known hosts of this host's region, in order. The
+// caller holds mu.
+func (h *Holder) regionHosts() []string {
+	var names []string
+	for _, host := range sortedKeys(h.hosts) {
+		if h.options.Regions[h.hosts[host]] == h.options.Regions[h.options.FailureDomain] {
+			names = append(names, host)
+		}
 	}
+	return names
+}
+
+// noteEmptyRegions notes from when the shares of regions without hosts may be claimed. seen
+// tells whether this process knew hosts before. The caller holds mu.
+func (h *Holder) noteEmptyRegions(seen bool, now boottime.Instant) {
+	populated := map[string]bool{}
+	for _, domain := range h.hosts {
+		populated[h.options.Regions[domain]] = true
+	}
+	delay := startOrphanDelay
+	if seen {
+		delay = orphanDelay
+	}
+	for _, region := range h.options.Regions {
+		if _, noted := h.orphanedFrom[region]; populated[region] {
+			delete(h.orphanedFrom, region)
+		} else if !noted {
+			h.orphanedFrom[region] = now.Add(delay)
+		}
+	}
+}
+
+// orphaned reports whether hosts of other regions may claim the shares of a region. The
+// caller holds mu.
+func (h *Holder) orphaned(region string, now boottime.Instant) bool {
+	from, empty := h.orphanedFrom[region]
+	return empty && !now.Before(from)
 }
 
 // SetLease sets the lease under which this host claims shares, and the instant until
@@ -184,6 +259,9 @@
 	if !lease.IsZero() {
 		h.enterEra(lease.Era, now)
 	}
+	if lease != h.lease {
+		h.version++
+	}
 	h.lease, h.leaseValid = lease, validUntil
 }
 
@@ -277,7 +355,7 @@
 
 // usable is Usable for a caller that holds mu.
 func (h *Holder) usable(group string, window time.Duration, now boottime.Instant) Set {
-	if !h.leased(now) || h.era.Named() && now.Sub(h.eraSeen) < h.options.LeaseTTL+window+MaxSendDelay {
+	if !h.leased(now) || !h.settled(now, window) {
 		return 0
 	}
 	var set Set
@@ -294,35 +372,52 @@
 // caller holds mu.
 func (h *Holder) holds(r *record) bool { return !r.heldUnder.IsZero() && r.heldUnder == h.lease }
 
-// groups returns the groups whose shares this host may have to hold, in order: the
-// failure domains of its region. The caller holds mu.
+// groups returns the failure domains of this host's region, in order. The caller holds mu.
 func (h *Holder) groups() []string {
-	region := h.options.Regions[h.options.FailureDomain]
+	return h.groupsOf(func(region string) bool { return region == h.options.Regions[h.options.FailureDomain] })
+}
+
+func (h *Holder) groupsOf(include func(region string) bool) []string {
 	var groups []string
-	for _, domain := range slices.Sorted(maps.Keys(h.options.Regions)) {
-		if h.options.Regions[domain] == region {
+	for _, domain := range sortedKeys(h.options.Regions) {
+		if include(h.options.Regions[domain]) {
 			groups = append(groups, domain)
 		}
 	}
 	return groups
 }
 
+func sortedKeys(m map[string]string) []string { return slices.Sorted(maps.Keys(m)) }
+
+// claimGroups returns the groups of which this host may have to hold shares: the failure
+// domains of its region and of regions without hosts. The caller holds mu.
+func (h *Holder) claimGroups(now boottime.Instant) []string {
+	own := h.options.Regions[h.options.FailureDomain]
+	return h.groupsOf(func(region string) bool { return region == own || h.orphaned(region, now) })
+}
+
 // assignment returns which host should hold each share of a group: one of its failure
-// domain, or of the region if the failure domain has fewer than minLocalHosts. The
-// caller holds mu.
+// domain, of the region if the failure domain has fewer than minLocalHosts, or of any
+// region if its own has none. The caller holds mu.
 func (h *Holder) assignment(group string) [SharesPerGroup]string {
 	if holders, ok := h.assigned[group]; ok {
 		return holders
 	}
-	var local, all []string
-	for _, host := range slices.Sorted(maps.Keys(h.hosts)) {
+	var local, regional, all []string
+	for _, host := range sortedKeys(h.hosts) {
 		all = append(all, host)
+		if h.options.Regions[h.hosts[host]] == h.options.Regions[group] {
+			regional = append(regional, host)
+		}
 		if h.hosts[host] == group {
 			local = append(local, host)
 		}
 	}
-	if len(local) >= minLocalHosts {
+	switch {
+	case len(local) >= minLocalHosts:
 		all = local
+	case len(regional) > 0:
+		all = regional
 	}
 	h.assigned[group] = assign(group, all)
 	return h.assigned[group]
@@ -332,8 +427,9 @@
 type Transaction struct {
 	Writes []kvstore.Write
 
-	lease  kvstore.LeaseID
-	shares []share // of the writes
+	lease   kvstore.LeaseID
+	shares  []share // of the first writes
+	settles bool    // the last write is that of settledKey
 }
 
 // Next returns the next transaction to send to the store. It reports false if there is
@@ -347,7 +443,7 @@
 	}
 	t := Transaction{lease: h.lease}
 	h.giveUp(&t, now)
-	for _, group := range h.groups() {
+	for _, group := range h.claimGroups(now) {
 		for index, holder := range h.assignment(group) {
 			s := share{group, index}
 			if r := h.record(s); holder == h.options.Host && h.claimable(r, now) && len(t.Writes) < maxWrites {
@@ -355,6 +451,7 @@
 			}
 		}
 	}
+	h.settle(&t, now)
 	return t, len(t.Writes) > 0
 }
 
@@ -384,6 +481,7 @@
 		if h.holds(r) && r.lease == h.lease && h.assignment(s.group)[s.index] != h.options.Host && len(t.Writes) < maxWrites {
 			t.add(s, kvstore.Write{Key: s.key(), Expected: r.revision, Lease: h.lease, Delete: true})
 			r.drop()
+			h.version++
 		}
 	}
 }
@@ -411,6 +509,10 @@
 func (h *Holder) Finish(t Transaction, err error, now boottime.Instant) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.version++
+	if t.settles && err != nil {
+		h.settleRetry = now.Add(retryDelay)
+	}
 	for i, s := range t.shares {
 		r := h.record(s)
 		switch {
--- a/internal/lending/lending.go
+++ b/internal/lending/lending.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -51,8 +52,8 @@
 	// emptyPeerBackoff is how long a host that had no tokens of an account is not
 	// asked again for that account.
 	emptyPeerBackoff = 700 * time.Millisecond
-	// requestFanout is how many hosts are asked at the same time.
-	requestFanout = 2
+	// maxFanout is how many hosts are asked at the same time.
+	maxFanout = 2
 )
 
 // pendingRequest is a request that waits for its reply.
@@ -95,12 +96,21 @@
 	}, nil
 }
 
-// RequestTokens asks up to requestFanout hosts for tokens of an account, near ones
-// first, unless a request for the account is pending already. It reports whether a
-// reply is expected.
+// Fanout returns how many of some hosts are asked at the same time for a number of tokens,
+// each for its part. Two hosts asked for a single token would both lend one, and the second
+// would expire unused.
+func Fanout(want float64, hosts int) int {
+	return min(maxFanout, int(math.Ceil(want)), hosts)
+}
+
+// RequestTokens asks a few hosts for tokens of an account, near ones first, unless a
+// request for the account is pending already. It reports whether a reply is expected.
 func (e *Exchange) RequestTokens(account uint64, want float64, near, far []netip.AddrPort) bool {
 	now := e.clock()
-	numbers, waiting := e.openRequests(account, near, far, now)
+	numbers, waiting := e.openRequests(account, Fanout(want, len(near)+len(far)), near, far, now)
+	if len(numbers) > 0 {
+		want = math.Ceil(want / float64(len(numbers)))
+	}
 	for _, number := range numbers {
 		e.mu.Lock()
 		peer := e.pending[number].peer
@@ -110,11 +120,11 @@
 	return waiting
 }
 
-// openRequests registers requests to hosts that may have tokens, unless a request for
+// openRequests registers requests to up to most hosts that may have tokens, unless a request for
 // the account is pending already, and forgets requests that have timed out. It
 // returns the numbers of the new requests and whether any request for the account is
 // pending.
-func (e *Exchange) openRequests(account uint64, near, far []netip.AddrPort, now boottime.Instant) (numbers []uint32, waiting bool) {
+func (e *Exchange) openRequests(account uint64, most int, near, far []netip.AddrPort, now boottime.Instant) (numbers []uint32, waiting bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for number, request := range e.pending {
@@ -136,7 +146,7 @@
 		e.lastNumber++
 		e.pending[e.lastNumber] = pendingRequest{peer: peer, account: account, sentAt: now}
 		numbers = append(numbers, e.lastNumber)
-		if len(numbers) == requestFanout {
+		if len(numbers) == most {
 			break
 		}
 	}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -6,7 +6,7 @@
 // never duplicates them.
 //
 // All types work without I/O and take the time from the caller. They are not safe
-// for concurrent use, except Division, which is immutable.
+// for concurrent use.
 package quota
 
 import (
@@ -35,12 +35,17 @@
 
 // Bucket is a token bucket with a host's share of the rate and burst of a client
 // account. The zero value has no share.
+//
+// What all buckets of an account spend within a window is at most the rate times the window
+// plus their bursts: each part of the rate accrues at one host at any time, a new holder of
+// a part begins without tokens, and lent tokens are deducted before they are added elsewhere.
 type Bucket struct {
 	rate        float64 // tokens per second
 	burst       float64 // tokens
 	tokens      float64
 	refilledAt  boottime.Instant
 	initialized bool
+	suspended   bool // own tokens may not be spent now
 
 	borrowed      float64
 	borrowedUntil boottime.Instant
@@ -62,6 +67,36 @@
 	b.tokens = min(b.tokens, burst)
 }
 
+// SetShare replaces the host's share. kept is the rate and burst of what the host has held
+// without a gap since the last call with a time; what accrued beyond that is dropped, as
+// another host may have held it meanwhile. share is the rate and burst from now on.
+func (b *Bucket) SetShare(kept, share Share, now boottime.Instant) {
+	b.rate = min(b.rate, kept.Rate)
+	b.SetLimit(kept.Rate, kept.Burst, now)
+	b.SetLimit(share.Rate, share.Burst, now)
+}
+
+// Share is a host's share of an account's rate.
+type Share struct {
+	Rate  float64 // tokens per second
+	Burst float64 // tokens
+}
+
+// Suspend stops or resumes spending and lending of the host's own tokens. They go on to
+// accrue: the host holds its share, but can't be sure of that for the moment.
+func (b *Bucket) Suspend(suspended bool) { b.suspended = suspended }
+
+// RefilledAt returns the instant up to which tokens have accrued.
+func (b *Bucket) RefilledAt() boottime.Instant { return b.refilledAt }
+
+// own returns the tokens of the host's own share that it may spend.
+func (b *Bucket) own() float64 {
+	if b.suspended {
+		return 0
+	}
+	return b.tokens
+}
+
 // SetRegionRate sets the rate that all hosts of the region have together, in tokens
 // per second. A host without a share estimates waits by it.
 func (b *Bucket) SetRegionRate(rate float64) { b.regionRate = rate }
@@ -80,7 +115,7 @@
 		b.borrowed--
 		return true, 0
 	}
-	if b.tokens >= 1 {
+	if b.own() >= 1 {
 		invariant.Check(b.tokens <= b.burst, invariant.RateWithinLimit, "%v tokens of a burst of %v", b.tokens, b.burst)
 		b.tokens--
 		return true, 0
@@ -92,7 +127,7 @@
 // host's own share. It is zero if the host has no share.
 func (b *Bucket) OwnTokenDelay(now boottime.Instant) time.Duration {
 	b.refill(now)
-	if b.rate <= 0 || b.burst < 1 {
+	if b.rate <= 0 || b.burst < 1 || b.suspended {
 		return 0
 	}
 	return b.estimatedWait()
@@ -127,15 +162,20 @@
 func (b *Bucket) Refund() { b.tokens = min(b.tokens+1, b.burst) }
 
 // TokensToBorrow returns how many whole tokens to borrow now: the demand of
-// borrowHorizon less what the bucket holds and will accrue, at least one if the
-// bucket holds less than one token. It returns zero if no tokens are needed.
-func (b *Bucket) TokensToBorrow(now boottime.Instant) float64 {
+// borrowHorizon less what the bucket holds and will accrue. waiting tells that a request
+// waits for a token; then it is at least one. Otherwise less than a whole token is not
+// borrowed: a host with few requests would let it expire while others lack it.
+func (b *Bucket) TokensToBorrow(waiting bool, now boottime.Instant) float64 {
 	b.refill(now)
-	need := b.demand*borrowHorizon.Seconds() - b.tokens - b.borrowed - b.rate*borrowHorizon.Seconds()
-	if need <= 0 && b.tokens+b.borrowed >= 1 {
-		return 0
+	accruing := b.rate * borrowHorizon.Seconds()
+	if b.suspended {
+		accruing = 0
+	}
+	need := b.demand*borrowHorizon.Seconds() - b.own() - b.borrowed - accruing
+	if waiting {
+		return math.Ceil(max(need, 1))
 	}
-	return math.Ceil(max(need, 1))
+	return max(0, math.Floor(need))
 }
 
 // Lend deducts up to want whole tokens that this host does not need for its own
@@ -144,7 +184,7 @@
 	b.refill(now)
 	excess := max(0, b.demand-b.rate) * reserveHorizon.Seconds()
 	reserve := math.Floor(excess + min(b.demand*reserveHorizon.Seconds(), b.tokens/2))
-	granted := math.Floor(min(want, b.tokens-reserve))
+	granted := math.Floor(min(want, b.own()-reserve))
 	if granted < 1 {
 		return 0
 	}
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -64,7 +64,7 @@
 }
 
 func (f *fleetModel) borrow(from, to int, lost bool, delay time.Duration) {
-	want := f.hosts[to].TokensToBorrow(f.now)
+	want := f.hosts[to].TokensToBorrow(f.hosts[to].own()+f.hosts[to].borrowed < 1, f.now)
 	if from == to || want == 0 {
 		return
 	}
