placement: bound the cost of traffic to other failure domains

The cost is now at most half of the value of a response on time, which is more than a late one is worth.

--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -18,6 +18,9 @@
 	maxSlotCost = 0.5
 	// slotCostThreshold is the slot utilisation above which slots have a cost.
 	slotCostThreshold = 0.6
+	// maxCrossingCost bounds the cost of traffic to another failure domain or region. A response on
+	// time from there is worth more than a late one from here, whatever its size.
+	maxCrossingCost = 0.5
 	// minScore is the score below which an upstream is not used.
 	minScore = 0.02
 	// latencyCost prefers the faster response between equal scores; it is the cost of a
@@ -34,7 +37,7 @@
 func (p *Pool) scoreCandidate(s *service, u *upstream, request *Request, e *routeEstimate, preferred *preferredUpstreams, object objectID, now boottime.Instant) candidate {
 	c := candidate{upstream: u, hitProb: 1}
 	if preferred != nil {
-		c.preference = s.preferenceOf(u, preferred)
+		c.preference = s.preferenceOf(u, preferred, p.settings.Region)
 		c.reuseDistance, c.sent = u.history.reuseDistance(object)
 		c.hitProb = s.cache.hitProbability[c.preference][s.cache.distanceClass(c.reuseDistance, c.sent)]
 	}
@@ -88,7 +91,7 @@
 	if u.region != p.settings.Region {
 		cost += p.settings.CrossRegionCost
 	}
-	return cost * e.kilobytes
+	return min(cost*e.kilobytes, maxCrossingCost)
 }
 
 // expectedWait returns the time until a slot of the upstream is free, in ms.
