placement: a region holds as many objects as its slots can serve

Which objects a region holds followed its caches only, and requests left the region one after the other under the limit on shifts. A region now holds a fraction of the objects that follows its slots and its demand, changes it by at most the limit on shifts, and lets the requests for the others run in other regions from the start.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -42,6 +42,8 @@
 
 	table atomic.Pointer[routing.Table] // nil before the first policy
 	hosts atomic.Pointer[[]catalog.Host]
+	// regionHosts is the number of known hosts of this host's region.
+	regionHosts atomic.Int64
 	// upstreamList holds the registered upstreams.
 	upstreamList atomic.Pointer[[]catalog.Upstream]
 	// upstreamNames holds the IDs of the upstreams by their hash in load reports.
@@ -100,6 +102,7 @@
 		LimitUnits:       s.limitUnits,
 		LimitRecordDelay: s.limitRecordDelay,
 		ViewProof:        viewProof,
+		RegionHosts:      func() int { return int(s.regionHosts.Load()) },
 		ColdStart:        s.coldStart,
 	})
 	return s
@@ -351,6 +354,8 @@
 	s.upstreamList.Store(&upstreams)
 	hosts := newestIncarnations(s.hostMembers.All())
 	s.hosts.Store(&hosts)
+	_, regionHosts := s.hostCounts()
+	s.regionHosts.Store(int64(regionHosts))
 	s.shares.SetHosts(hosts, s.clock())
 	s.onHosts(hosts)
 	s.limits.update(s.table.Load(), hosts)
--- /dev/null
+++ b/internal/placement/demand.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"peridotrail/internal/boottime"
+)
+
+const (
+	// demandTimeConstant is the time constant of the average demand for a service.
+	demandTimeConstant = 2 * time.Second
+	// demandMemory is the time constant with which the highest average demand is forgotten. It is
+	// long compared with a burst: which objects a region holds should not follow each of them.
+	demandMemory = 20 * time.Second
+	// demandSettled is the age from which the average demand is used.
+	demandSettled = 300 * time.Millisecond
+	// ownedUtilisation is the utilisation of a region's slots up to which it holds objects. The rest
+	// is for requests that are slow or arrive together.
+	ownedUtilisation = 0.75
+)
+
+// ownership tells which objects of a service this host's region holds: a fraction of them, by
+// their hash, so that the requests for these need at most ownedUtilisation of the region's slots.
+// The requests for the others run in other regions. All hosts of a region have about the same demand
+// and so agree on the fraction but for a few objects.
+//
+// It answers a region with less room than demand: callers waited for its few upstreams, while those
+// of other regions had room and held the same objects.
+type ownership struct {
+	maxChange float64 // of the fraction within shiftWindow
+
+	started   boottime.Instant // of the first request
+	updatedAt boottime.Instant
+	average   float64 // demand of this host for objects that are cached, in slots
+	highest   float64 // recent maximum of average, decaying with demandMemory
+	fraction  float64
+}
+
+func newOwnership(maxChange float64) ownership { return ownership{maxChange: maxChange, fraction: 1} }
+
+// record adds a request that takes a slot for some time, in ms, if its object is cached. slots
+// are those of the region, and hosts the number of its hosts.
+func (o *ownership) record(serviceMS float64, slots, hosts int, now boottime.Instant) {
+	if o.started == 0 {
+		o.started, o.updatedAt = now, now
+	}
+	elapsed := now.Sub(o.updatedAt)
+	o.average = o.average*decay(elapsed, demandTimeConstant) + serviceMS/milliseconds(demandTimeConstant)
+	o.updatedAt = now
+	age := now.Sub(o.started)
+	if age < demandSettled {
+		return
+	}
+	current := o.average / (1 - decay(age, demandTimeConstant)) // the average began at zero
+	o.highest = max(o.highest*decay(elapsed, demandMemory), current)
+	target := math.Min(1, ownedUtilisation*float64(slots)/(o.highest*float64(max(hosts, 1))))
+	if age < shiftWindow {
+		o.fraction = target // there is nothing yet from which requests could shift
+		return
+	}
+	change := o.maxChange * float64(elapsed) / float64(shiftWindow)
+	o.fraction += max(-change, min(change, target-o.fraction))
+}
+
+// owns reports whether the region holds the object with a hash from 0 to 1.
+func (o *ownership) owns(hash float64) bool { return hash < o.fraction }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -45,6 +45,8 @@
 	// ViewProof returns the last instant at which the upstreams last set are known to
 	// have been current.
 	ViewProof func() boottime.Instant
+	// RegionHosts returns the number of known hosts of this host's region; nil: one.
+	RegionHosts func() int
 	// ColdStart returns how long an upstream of a service is cold after its start.
 	ColdStart func(service string) time.Duration
 }
@@ -143,7 +145,7 @@
 func (p *Pool) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
-		s = newService()
+		s = newService(p.settings.MaxShift)
 		p.services[name] = s
 	}
 	return s
@@ -175,6 +177,7 @@
 	var object objectID
 	if request.hasObject() {
 		s.cache.recordRequest(request.Object, now)
+		s.owned.record(p.routeEstimate(&request).cachedMS, s.regionSlots(p.settings.Region), p.regionHosts(), now)
 		preferred, object = s.preferredFor(request.Object), s.objectID(request.Object)
 	}
 	best, refusal := p.bestCandidate(s, preferred, object, &request, now)
@@ -200,6 +203,13 @@
 	return placement, nil
 }
 
+func (p *Pool) regionHosts() int {
+	if p.settings.RegionHosts == nil {
+		return 1
+	}
+	return p.settings.RegionHosts()
+}
+
 // refusalError allocates the error only for requests that are refused.
 func refusalError(r RefusedError) error { return &r }
 
@@ -228,6 +238,7 @@
 	}
 	shiftAllowed := p.shift.allows(now)
 	local := p.hasLocal(request)
+	held := preferred == nil || len(s.regions) == 1 || s.owned.owns(preferred.regionHash)
 	var best candidate
 	for _, u := range p.scratch {
 		if !p.eligible(u, request) {
@@ -241,7 +252,7 @@
 			updateRefusal(&refusal, ReasonRest, p.restRetryAfter(until, now))
 			continue
 		}
-		if u.region != p.settings.Region && local && !shiftAllowed {
+		if u.region != p.settings.Region && local && !shiftAllowed && held {
 			updateRefusal(&refusal, ReasonShift, minRetryAfter)
 			continue
 		}
--- a/internal/placement/preferred.go
+++ b/internal/placement/preferred.go
@@ -77,9 +77,11 @@
 
 // cacheScope returns how widely a region caches an object. The largest region
 // caches every object at least once.
-func (s *service) cacheScope(preferred *preferredUpstreams, region int) cacheScope {
+func (s *service) cacheScope(preferred *preferredUpstreams, region int, local bool) cacheScope {
 	r := s.regions[region]
 	switch {
+	case local && len(s.regions) > 1 && !s.owned.owns(preferred.regionHash):
+		return cachedNowhere
 	case preferred.domainHash < s.cache.replicatedFraction(r.smallestDomain, r.upstreams):
 		return cachedPerDomain
 	case r.upstreams == s.largestRegion || preferred.regionHash < s.cache.cacheableFraction(r.upstreams):
@@ -90,12 +92,12 @@
 }
 
 // preferenceOf returns the preference of an upstream for an object.
-func (s *service) preferenceOf(u *upstream, preferred *preferredUpstreams) preference {
+func (s *service) preferenceOf(u *upstream, preferred *preferredUpstreams, localRegion string) preference {
 	inRegion, inDomain := preferred.byRegion[u.regionIndex] == u, preferred.byDomain[u.domainIndex] == u
 	if !inRegion && !inDomain {
 		return notPreferred
 	}
-	switch scope := s.cacheScope(preferred, u.regionIndex); {
+	switch scope := s.cacheScope(preferred, u.regionIndex, u.region == localRegion); {
 	case inRegion && scope != cachedNowhere:
 		return regionPreferred
 	case inDomain && scope == cachedPerDomain:
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -16,18 +16,20 @@
 	objectIDs map[string]objectID
 	sentTo    map[objectID][]*upstream // upstreams to which this host has sent an object, latest last
 	cache     *cacheModel
-	rotation  int // placements so far, for the rotation of sampled upstreams
+	owned     ownership // of this host's region
+	rotation  int       // placements so far, for the rotation of sampled upstreams
 }
 
 // regionSize counts the usable upstreams of a region.
 type regionSize struct {
 	name           string
 	upstreams      int
+	slots          int
 	smallestDomain int // upstreams of the failure domain that has the fewest
 }
 
-func newService() *service {
-	return &service{cache: newCacheModel(), objectIDs: map[string]objectID{}, sentTo: map[objectID][]*upstream{}}
+func newService(maxShift float64) *service {
+	return &service{owned: newOwnership(maxShift), cache: newCacheModel(), objectIDs: map[string]objectID{}, sentTo: map[objectID][]*upstream{}}
 }
 
 // rebuildIndex derives the other fields from the set of upstreams.
@@ -47,6 +49,7 @@
 		u.domainIndex = indexOf(&s.domains, u.FailureDomain)
 		u.regionIndex = s.regionIndex(u.region)
 		s.regions[u.regionIndex].upstreams++
+		s.regions[u.regionIndex].slots += u.slots
 	}
 	for i := range s.regions {
 		r := &s.regions[i]
@@ -81,6 +84,16 @@
 	return len(s.regions) - 1
 }
 
+// regionSlots returns the slots of the usable upstreams of a region.
+func (s *service) regionSlots(name string) int {
+	for i := range s.regions {
+		if s.regions[i].name == name {
+			return s.regions[i].slots
+		}
+	}
+	return 0
+}
+
 // maxObjectIDs bounds the objects with an ID. All IDs are dropped when it is
 // reached, together with the histories that refer to them.
 const maxObjectIDs = 16384
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -60,9 +60,20 @@
 	joinDomain          string             // failure domain of the upstream that joins
 	hostsPerDomain      int                // hosts in each failure domain
 	noUpstreamLoad      bool               // upstreams report no load
+	kilobytes           float64            // of a request and its response; zero: 5
 	peerReportInterval  time.Duration      // interval of the reports between hosts; zero: none
 }
 
+func (p *loadPattern) domainsOfRegion(region string) int {
+	n := 0
+	for _, other := range p.domains {
+		if other == region {
+			n++
+		}
+	}
+	return n
+}
+
 // simulationResult counts the outcomes of the requests.
 type simulationResult struct {
 	requests, onTime, late, refused, expired int
@@ -122,7 +133,9 @@
 			s.addUpstream(domain, i)
 		}
 		for range max(p.hostsPerDomain, 1) {
-			s.pools[domain] = append(s.pools[domain], newTestPool(domain, p.domains))
+			pool := newTestPool(domain, p.domains)
+			pool.settings.RegionHosts = func() int { return max(p.hostsPerDomain, 1) * p.domainsOfRegion(p.domains[domain]) }
+			s.pools[domain] = append(s.pools[domain], pool)
 		}
 	}
 	s.publishUpstreams()
@@ -296,7 +309,7 @@
 		s.result.late++
 	}
 	if j.placed != nil {
-		report := Report{Outcome: OutcomeAnswered, Kilobytes: 5}
+		report := Report{Outcome: OutcomeAnswered, Kilobytes: max(s.pattern.kilobytes, 5)}
 		if !s.pattern.noUpstreamLoad {
 			report.Load = &Load{Running: u.running, Waiting: len(u.queue), Slots: u.slots}
 		}
--- /dev/null
+++ b/internal/placement/small_region_test.go
@@ -0,0 +1,48 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// smallRegionFleet has three regions with the same demand, whose peaks follow each other. One has
+// a tenth of the upstreams. They hold all objects, but have the slots for half of its demand.
+func smallRegionFleet() loadPattern {
+	return loadPattern{
+		domains:   map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"},
+		upstreams: map[string]int{"a1": 35, "a2": 35, "b1": 7, "b2": 7, "c1": 29, "c2": 29},
+		slots:     4, cacheSize: 27, objects: 307, hostsPerDomain: 14, peerReportInterval: 100 * time.Millisecond,
+		cachedServiceTime: 192 * time.Millisecond, uncachedServiceTime: 640 * time.Millisecond, objective: 400 * time.Millisecond, deadline: 1200 * time.Millisecond,
+		duration: 30 * time.Second, rate: regionalPeaks(205, 0.55),
+	}
+}
+
+// The callers of a region with few upstreams waited for these, while those of other regions
+// had room and held the same objects.
+func TestSimulatedRegionWithFewUpstreams(t *testing.T) {
+	r := simulateRegions(t, smallRegionFleet())
+	require.Greater(t, r.worstDomainRatio, 0.75, "those of the other regions are at 0.73 to 0.78")
+}
+
+// Requests with large responses waited for the single upstream of their failure domain, because the
+// cost of the traffic to another one had no bound.
+func TestSimulatedLargeResponsesLeaveAFullDomain(t *testing.T) {
+	p := smallRegionFleet()
+	p.upstreams = map[string]int{"a1": 5, "a2": 5, "b1": 1, "b2": 1, "c1": 4, "c2": 4}
+	p.cacheSize, p.objects, p.kilobytes = 34, 54, 90
+	p.cachedServiceTime, p.uncachedServiceTime, p.deadline = 156*time.Millisecond, 520*time.Millisecond, 2500*time.Millisecond
+	p.rate = regionalPeaks(36, 0.55)
+	r := simulateRegions(t, p)
+	require.Greater(t, r.worstDomainRatio, 0.6, "requests with small responses are at 0.61")
+}
+
+func simulateRegions(t *testing.T, p loadPattern) *simulationResult {
+	t.Helper()
+	r := simulate(p, poolPolicy)
+	ratio := func(domain string) float64 { return float64(r.perDomain[domain][1]) / float64(r.perDomain[domain][0]) }
+	t.Logf("on time %.3f, worst domain %.3f (a1 %.3f b1 %.3f c1 %.3f) late %d refused %d expired %d crossed %d of %d",
+		r.onTimeRatio(), r.worstDomainRatio, ratio("a1"), ratio("b1"), ratio("c1"), r.late, r.refused, r.expired, r.crossDomain, r.requests)
+	return r
+}
