placement: few hosts try an upstream that they don't know

Each host of a large fleet sent one request to each upstream of its failure domain before it followed the agreed owners of objects. After a start with cold caches the first seconds of requests were spread over all upstreams, and few of these got an object a second time. Two hosts of a region try an upstream now, on average.

--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"peridotrail/internal/boottime"
 )
 
@@ -60,12 +62,23 @@
 	case c.preference == domainPreferred && u.FailureDomain == p.settings.FailureDomain:
 		c.score += s.cache.objectCrossingCost[request.Object] * (1 - c.hitProb)
 	}
-	if !u.served && u.FailureDomain == p.settings.FailureDomain {
+	if !u.served && u.FailureDomain == p.settings.FailureDomain && p.triesFirst(u) {
 		c.score += firstRequestBonus
 	}
 	return c
 }
 
+// firstTries is the number of hosts of a region that try an upstream without knowing it, on
+// average. If each of many hosts did, the first requests after a start would spread over all
+// upstreams, and few of these would get an object a second time.
+const firstTries = 2
+
+// triesFirst reports whether this host tries an upstream to which it has sent nothing.
+func (p *Pool) triesFirst(u *upstream) bool {
+	hosts := uint64(max(p.regionHosts(), 1))
+	return hosts <= firstTries || xxhash.Sum64String(u.ID+"\x00"+p.settings.Host)%hosts < firstTries
+}
+
 // slotCost returns the cost of a slot for the time of one latency objective.
 func (u *upstream) slotCost(now boottime.Instant) float64 {
 	excess := u.occupancy(now)/float64(u.slots) - slotCostThreshold
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -134,6 +134,7 @@
 		}
 		for range max(p.hostsPerDomain, 1) {
 			pool := newTestPool(domain, p.domains)
+			pool.settings.Host = fmt.Sprintf("%s-%d", domain, len(s.pools[domain]))
 			pool.settings.RegionHosts = func() int { return max(p.hostsPerDomain, 1) * p.domainsOfRegion(p.domains[domain]) }
 			s.pools[domain] = append(s.pools[domain], pool)
 		}
--- a/internal/placement/small_region_test.go
+++ b/internal/placement/small_region_test.go
@@ -46,3 +46,12 @@
 		r.onTimeRatio(), r.worstDomainRatio, ratio("a1"), ratio("b1"), ratio("c1"), r.late, r.refused, r.expired, r.crossDomain, r.requests)
 	return r
 }
+
+// After a start of the whole fleet, with all caches cold, each host tried each upstream of its
+// failure domain once, and most responses of the first seconds were late.
+func TestSimulatedStartWithColdCaches(t *testing.T) {
+	p := smallRegionFleet()
+	p.duration = 4 * time.Second
+	r := simulateRegions(t, p)
+	require.Greater(t, r.onTimeRatio(), 0.5, "the median response is on time")
+}
