--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -28,6 +28,7 @@
 	cache     []string // most recently used first
 	cacheSize int
 	slowdown  float64
+	noise     float64 // slowdown of the machine at the moment
 	running   int
 	queue     []*job
 }
@@ -61,6 +62,9 @@
 	hostsPerDomain      int                // hosts in each failure domain
 	noUpstreamLoad      bool               // upstreams report no load
 	kilobytes           float64            // of a request and its response; zero: 5
+	noise               float64            // fraction of the upstreams that noiseSlowdown makes slow at a time
+	hideNoise           bool               // upstreams don't report it
+	slowRequests        float64            // fraction of the requests that take slowRequestFactor times as long
 	peerReportInterval  time.Duration      // interval of the reports between hosts; zero: none
 }
 
@@ -74,6 +78,12 @@
 	return n
 }
 
+const (
+	noiseSlowdown     = 2.5
+	noiseInterval     = 600 * time.Millisecond // for which an upstream stays slow or not
+	slowRequestFactor = 7
+)
+
 // simulationResult counts the outcomes of the requests.
 type simulationResult struct {
 	requests, onTime, late, refused, expired int
@@ -149,6 +159,9 @@
 	if p.peerReportInterval > 0 {
 		s.reportPeerCounts()
 	}
+	if p.noise > 0 {
+		s.changeNoise()
+	}
 	for s.pending.Len() > 0 {
 		next := heap.Pop(&s.pending).(event)
 		s.now = next.at
@@ -187,7 +200,7 @@
 	}
 	s.upstreams = append(s.upstreams, &server{
 		entry:  catalog.Upstream{ID: id, Service: "s", Address: id, FailureDomain: domain, Slots: s.pattern.slots},
-		region: s.pattern.domains[domain], slots: s.pattern.slots, cacheSize: s.pattern.cacheSize, slowdown: slowdown,
+		region: s.pattern.domains[domain], slots: s.pattern.slots, cacheSize: s.pattern.cacheSize, slowdown: slowdown, noise: 1,
 	})
 }
 
@@ -221,6 +234,19 @@
 	}
 }
 
+// changeNoise draws which upstreams are slow until the next change.
+func (s *simulation) changeNoise() {
+	for _, u := range s.upstreams {
+		u.noise = 1
+		if s.random.Float64() < s.pattern.noise {
+			u.noise = noiseSlowdown
+		}
+	}
+	if s.now.Sub(simulationStart) < s.pattern.duration {
+		s.schedule(s.now.Add(noiseInterval), s.changeNoise)
+	}
+}
+
 func (s *simulation) schedule(when boottime.Instant, do func()) {
 	heap.Push(&s.pending, event{when, do})
 }
@@ -278,7 +304,10 @@
 			mean = s.pattern.cachedServiceTime
 		}
 		u.cacheObject(j.req.Object)
-		serviceTime := float64(mean) * u.slowdown * (1 + 0.15*s.random.NormFloat64())
+		if s.pattern.slowRequests > 0 && s.random.Float64() < s.pattern.slowRequests {
+			mean *= slowRequestFactor
+		}
+		serviceTime := float64(mean) * u.slowdown * u.noise * (1 + 0.15*s.random.NormFloat64())
 		end := s.now.Add(time.Duration(max(serviceTime, float64(time.Millisecond))))
 		s.schedule(min(end, max(j.req.Deadline, s.now)), func() { s.finish(j, end) })
 	}
@@ -313,6 +342,9 @@
 		report := Report{Outcome: OutcomeAnswered, Kilobytes: max(s.pattern.kilobytes, 5)}
 		if !s.pattern.noUpstreamLoad {
 			report.Load = &Load{Running: u.running, Waiting: len(u.queue), Slots: u.slots}
+			if !s.pattern.hideNoise && s.pattern.noise > 0 {
+				report.Load.Slowdown = u.noise
+			}
 		}
 		j.placed.Done(report, s.now)
 	}
