loadreport: hosts share the loads that upstreams report

In a burst, callers waited at full upstreams while others were free. Each of 14 hosts of a failure domain saw a fourteenth of the responses, and nothing of the requests from the other domains of its region. Hosts of a failure domain with more than three hosts now pass on what upstreams report to them, and report their own requests to the other domains of the region at a quarter of the rate. Hosts of earlier builds get and send the lists that they know.

--- a/internal/catalog/members.go
+++ b/internal/catalog/members.go
@@ -20,6 +20,7 @@
 	EntryAddress      string `json:"entry"`                    // IP:port for callers
 	PeerAddress       string `json:"peer"`                     // IP:port for other hosts
 	LoadReportAddress string `json:"loads"`                    // IP:port for load reports over UDP, empty if none
+	LoadSamples       bool   `json:"loadSamples,omitempty"`    // it reads load reports with samples
 	RelayAddress      string `json:"relay,omitempty"`          // IP:port for relayed requests over QUIC, empty if none
 	RelayAuthority    string `json:"relayAuthority,omitempty"` // certificate, base64 of DER, that attests the host on these connections
 	FailureDomain     string `json:"failureDomain"`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,7 +169,7 @@
 	}
 	settings := g.settings.get()
 	self := catalog.Host{
-		Name: settings.Host, EntryAddress: settings.ListenCallers, PeerAddress: settings.ListenPeers, LoadReportAddress: settings.ListenLoadReports,
+		Name: settings.Host, EntryAddress: settings.ListenCallers, PeerAddress: settings.ListenPeers, LoadReportAddress: settings.ListenLoadReports, LoadSamples: true,
 		FailureDomain: settings.FailureDomain, Region: settings.Region, Incarnation: g.started,
 	}
 	if g.relays != nil {
--- a/internal/gateway/load_reports.go
+++ b/internal/gateway/load_reports.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -44,17 +45,60 @@
 	l.pool.SetPeerInflightCounts(host.String(), byID, validFor, boottime.Now())
 }
 
-// loadPeersOf returns the load report addresses of the other hosts of this host's
-// failure domain.
-func loadPeersOf(hosts []catalog.Host, settings Settings) []netip.AddrPort {
-	var peers []netip.AddrPort
+// TakeSamples implements loadreport.Pool.
+func (l *loadPool) TakeSamples() []loadreport.Sample {
+	loads := l.pool.TakeLoads()
+	samples := make([]loadreport.Sample, 0, len(loads))
+	for id, load := range loads {
+		samples = append(samples, loadreport.Sample{
+			Upstream: loadHash(id), Running: saturate(load.Running), Waiting: saturate(load.Waiting), Slots: saturate(load.Slots),
+			Slowdown: saturate(int(load.Slowdown * 100)),
+		})
+	}
+	return samples
+}
+
+// saturate returns n, or the largest value if n is larger.
+func saturate(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
+
+// AddPeerSamples implements loadreport.Pool.
+func (l *loadPool) AddPeerSamples(samples []loadreport.Sample) {
+	names := l.state.upstreamNames.Load()
+	now := boottime.Now()
+	for _, s := range samples {
+		if id, ok := (*names)[s.Upstream]; ok {
+			l.pool.AddPeerLoad(id, placement.Load{Running: int(s.Running), Waiting: int(s.Waiting), Slots: int(s.Slots), Slowdown: float64(s.Slowdown) / 100}, now)
+		}
+	}
+}
+
+// minSharingHosts is the number of other hosts in the failure domain from which hosts share what
+// upstreams report, and report to the other failure domains of the region. With fewer hosts, each
+// sees enough responses itself.
+const minSharingHosts = 3
+
+// loadPeersOf returns the hosts with which load reports are exchanged: the other hosts of this
+// host's failure domain, and if there are many, those of its region.
+func loadPeersOf(hosts []catalog.Host, settings Settings) []loadreport.Peer {
+	var near, far []loadreport.Peer
 	for _, host := range hosts {
-		if host.FailureDomain != settings.FailureDomain || host.Name == settings.Host {
+		if host.Region != settings.Region || host.Name == settings.Host {
 			continue
 		}
-		if address, err := netip.ParseAddrPort(host.LoadReportAddress); err == nil {
-			peers = append(peers, address) // a host of another version may have no such address
+		address, err := netip.ParseAddrPort(host.LoadReportAddress)
+		switch {
+		case err != nil: // a host of another version may have no such address
+		case host.FailureDomain == settings.FailureDomain:
+			near = append(near, loadreport.Peer{Address: address, Samples: host.LoadSamples})
+		case host.LoadSamples:
+			far = append(far, loadreport.Peer{Address: address, Far: true})
 		}
 	}
-	return peers
+	if len(near) >= minSharingHosts {
+		return append(near, far...)
+	}
+	for i := range near {
+		near[i].Samples = false
+	}
+	return near
 }
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -93,6 +93,7 @@
 	p.recordSent(now)
 	if report.Load != nil {
 		u.recordLoad(*report.Load, now) // first: its slowdown explains the time of this response
+		pool.reportedLoads[u.ID] = *report.Load
 	}
 	switch report.Outcome {
 	case OutcomeAnswered:
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -71,3 +71,22 @@
 		}
 	}
 }
+
+// TakeLoads returns the latest load of each upstream that has reported one to this host since the
+// last call, by upstream ID.
+func (p *Pool) TakeLoads() map[string]Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	loads := p.reportedLoads
+	p.reportedLoads = map[string]Load{}
+	return loads
+}
+
+// AddPeerLoad records the load that an upstream has reported to another host.
+func (p *Pool) AddPeerLoad(id string, load Load, now boottime.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u := p.upstreams[id]; u != nil {
+		u.recordLoad(load, now)
+	}
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -65,6 +65,7 @@
 	peerReports    map[string]peerReport // by host
 	peerRequests   map[string]int        // sum of peerReports, by upstream ID
 	nextPeerExpiry boottime.Instant
+	reportedLoads  map[string]Load           // see TakeLoads; at most one for each upstream
 	limits         map[string]*requestLimit  // by upstream ID, also of upstreams that are absent for the moment
 	limitRefusals  int                       // requests refused because of a limit
 	announcements  map[string]*announcements // by upstream ID, also of upstreams that are absent for the moment
@@ -81,8 +82,8 @@
 		services:     map[string]*service{},
 		estimates:    map[string]*routeEstimate{},
 		peerReports:  map[string]peerReport{},
-		peerRequests: map[string]int{},
-		limits:       map[string]*requestLimit{},
+		peerRequests: map[string]int{}, reportedLoads: map[string]Load{},
+		limits: map[string]*requestLimit{},
 
 		announcements: map[string]*announcements{},
 		shift:         shiftLimiter{maxGrowth: settings.MaxShift},
@@ -120,6 +121,7 @@
 		s.all = append(s.all, u)
 	}
 	p.upstreams = present
+	maps.DeleteFunc(p.reportedLoads, func(id string, _ Load) bool { return present[id] == nil })
 	p.pruneLimits(now)
 	p.pruneAnnouncements(now)
 	maps.DeleteFunc(p.sendCounts, func(id string, c *sendCount) bool { return present[id] == nil && c.idle(now) })
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -65,6 +65,7 @@
 	noise               float64            // fraction of the upstreams that noiseSlowdown makes slow at a time
 	hideNoise           bool               // upstreams don't report it
 	slowRequests        float64            // fraction of the requests that take slowRequestFactor times as long
+	shareLoads          bool               // hosts share what upstreams report, and report to their region
 	peerReportInterval  time.Duration      // interval of the reports between hosts; zero: none
 }
 
@@ -126,6 +127,7 @@
 	pools        map[string][]*Pool // by failure domain
 	result       simulationResult
 	arrivalCount int
+	rounds       int // of reports between hosts
 }
 
 const (
@@ -229,11 +231,48 @@
 			}
 		}
 	}
+	if s.pattern.shareLoads {
+		s.shareLoads()
+	}
 	if s.now.Sub(simulationStart) < s.pattern.duration {
 		s.schedule(s.now.Add(s.pattern.peerReportInterval), s.reportPeerCounts)
 	}
 }
 
+// farReportRounds is the number of rounds of reports after which those of other failure domains
+// of the region follow.
+const farReportRounds = 4
+
+// shareLoads exchanges the loads that upstreams have reported within the failure domains, and
+// now and then the counts of requests within the regions.
+func (s *simulation) shareLoads() {
+	s.rounds++
+	for _, domain := range sortedKeys(s.pattern.domains) {
+		pools := s.pools[domain]
+		for i, sender := range pools {
+			for id, load := range sender.TakeLoads() {
+				for k, receiver := range pools {
+					if k != i {
+						receiver.AddPeerLoad(id, load, s.now)
+					}
+				}
+			}
+			if s.rounds%farReportRounds != 0 {
+				continue
+			}
+			counts := sender.InflightCounts()
+			for other, receivers := range s.pools {
+				if other == domain || s.pattern.domains[other] != s.pattern.domains[domain] {
+					continue
+				}
+				for _, receiver := range receivers {
+					receiver.SetPeerInflightCounts(domain+fmt.Sprint(i), counts, time.Second, s.now)
+				}
+			}
+		}
+	}
+}
+
 // changeNoise draws which upstreams are slow until the next change.
 func (s *simulation) changeNoise() {
 	for _, u := range s.upstreams {
--- a/internal/placement/small_region_test.go
+++ b/internal/placement/small_region_test.go
@@ -55,3 +55,17 @@
 	r := simulateRegions(t, p)
 	require.Greater(t, r.onTimeRatio(), 0.5, "the median response is on time")
 }
+
+// In a burst to twice the usual load, which the slots can serve, each of 14 hosts of a failure domain
+// saw a fourteenth of the responses, and nothing of the requests from the other domain of its region.
+// Hosts sent to full upstreams while others were free.
+func TestSimulatedBurstWithManyHosts(t *testing.T) {
+	p := smallRegionFleet()
+	p.rate = regionalPeaks(400, 0.55)
+	p.duration = 12 * time.Second
+	alone := simulateRegions(t, p)
+	p.shareLoads = true
+	sharing := simulateRegions(t, p)
+	require.Greater(t, sharing.onTimeRatio(), alone.onTimeRatio())
+	require.Greater(t, sharing.onTimeRatio(), 0.6, "as on a usual day before, with half the load")
+}
