placement: a region that is short of slots keeps its share of them

When all regions were short of slots, each gave up objects to the others, and requests only changed places. A region now holds at least the fraction of the objects that its share of the slots is of its share of the hosts.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -42,8 +42,8 @@
 
 	table atomic.Pointer[routing.Table] // nil before the first policy
 	hosts atomic.Pointer[[]catalog.Host]
-	// regionHosts is the number of known hosts of this host's region.
-	regionHosts atomic.Int64
+	// regionHosts is the number of known hosts of this host's region, and allHosts of all regions.
+	regionHosts, allHosts atomic.Int64
 	// upstreamList holds the registered upstreams.
 	upstreamList atomic.Pointer[[]catalog.Upstream]
 	// upstreamNames holds the IDs of the upstreams by their hash in load reports.
@@ -102,7 +102,7 @@
 		LimitUnits:       s.limitUnits,
 		LimitRecordDelay: s.limitRecordDelay,
 		ViewProof:        viewProof,
-		RegionHosts:      func() int { return int(s.regionHosts.Load()) },
+		HostCounts:       func() (region, all int) { return int(s.regionHosts.Load()), int(s.allHosts.Load()) },
 		ColdStart:        s.coldStart,
 	})
 	return s
@@ -354,8 +354,9 @@
 	s.upstreamList.Store(&upstreams)
 	hosts := newestIncarnations(s.hostMembers.All())
 	s.hosts.Store(&hosts)
-	_, regionHosts := s.hostCounts()
-	s.regionHosts.Store(int64(regionHosts))
+	all, region := s.hostCounts()
+	s.regionHosts.Store(int64(region))
+	s.allHosts.Store(int64(all))
 	s.shares.SetHosts(hosts, s.clock())
 	s.onHosts(hosts)
 	s.limits.update(s.table.Load(), hosts)
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -39,9 +39,18 @@
 
 func newOwnership(maxChange float64) ownership { return ownership{maxChange: maxChange, fraction: 1} }
 
-// record adds a request that takes a slot for some time, in ms, if its object is cached. slots
-// are those of the region, and hosts the number of its hosts.
-func (o *ownership) record(serviceMS float64, slots, hosts int, now boottime.Instant) {
+// fleetShape counts the slots of a service and the hosts, of a region and of all regions.
+type fleetShape struct{ regionSlots, slots, regionHosts, hosts int }
+
+// smallestFraction returns the fraction of the objects that the region holds at least: its share of
+// the slots over its share of the hosts, which stands for its share of the demand. When all regions
+// are short of slots, requests would only change places.
+func (f fleetShape) smallestFraction() float64 {
+	return float64(f.regionSlots) / float64(max(f.slots, 1)) * float64(max(f.hosts, 1)) / float64(max(f.regionHosts, 1))
+}
+
+// record adds a request that takes a slot for some time, in ms, if its object is cached.
+func (o *ownership) record(serviceMS float64, fleet fleetShape, now boottime.Instant) {
 	if o.started == 0 {
 		o.started, o.updatedAt = now, now
 	}
@@ -54,7 +63,8 @@
 	}
 	current := o.average / (1 - decay(age, demandTimeConstant)) // the average began at zero
 	o.highest = max(o.highest*decay(elapsed, demandMemory), current)
-	target := math.Min(1, ownedUtilisation*float64(slots)/(o.highest*float64(max(hosts, 1))))
+	target := ownedUtilisation * float64(fleet.regionSlots) / (o.highest * float64(max(fleet.regionHosts, 1)))
+	target = math.Min(1, max(target, fleet.smallestFraction()))
 	if age < shiftWindow {
 		o.fraction = target // there is nothing yet from which requests could shift
 		return
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -45,8 +45,9 @@
 	// ViewProof returns the last instant at which the upstreams last set are known to
 	// have been current.
 	ViewProof func() boottime.Instant
-	// RegionHosts returns the number of known hosts of this host's region; nil: one.
-	RegionHosts func() int
+	// HostCounts returns the numbers of known hosts of this host's region and of all regions;
+	// nil: one.
+	HostCounts func() (region, all int)
 	// ColdStart returns how long an upstream of a service is cold after its start.
 	ColdStart func(service string) time.Duration
 }
@@ -179,7 +180,7 @@
 	var object objectID
 	if request.hasObject() {
 		s.cache.recordRequest(request.Object, now)
-		s.owned.record(p.routeEstimate(&request).cachedMS, s.regionSlots(p.settings.Region), p.regionHosts(), now)
+		s.owned.record(p.routeEstimate(&request).cachedMS, p.fleetShape(s), now)
 		preferred, object = s.preferredFor(request.Object), s.objectID(request.Object)
 	}
 	best, refusal := p.bestCandidate(s, preferred, object, &request, now)
@@ -205,11 +206,19 @@
 	return placement, nil
 }
 
-func (p *Pool) regionHosts() int {
-	if p.settings.RegionHosts == nil {
-		return 1
+// fleetShape counts the slots of a service and the hosts. The caller holds mu.
+func (p *Pool) fleetShape(s *service) fleetShape {
+	shape := fleetShape{regionHosts: 1, hosts: 1}
+	if p.settings.HostCounts != nil {
+		shape.regionHosts, shape.hosts = p.settings.HostCounts()
 	}
-	return p.settings.RegionHosts()
+	for i := range s.regions {
+		shape.slots += s.regions[i].slots
+		if s.regions[i].name == p.settings.Region {
+			shape.regionSlots = s.regions[i].slots
+		}
+	}
+	return shape
 }
 
 // refusalError allocates the error only for requests that are refused.
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -75,7 +75,11 @@
 
 // triesFirst reports whether this host tries an upstream to which it has sent nothing.
 func (p *Pool) triesFirst(u *upstream) bool {
-	hosts := uint64(max(p.regionHosts(), 1))
+	if p.settings.HostCounts == nil {
+		return true
+	}
+	region, _ := p.settings.HostCounts()
+	hosts := uint64(max(region, 1))
 	return hosts <= firstTries || xxhash.Sum64String(u.ID+"\x00"+p.settings.Host)%hosts < firstTries
 }
 
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -84,16 +84,6 @@
 	return len(s.regions) - 1
 }
 
-// regionSlots returns the slots of the usable upstreams of a region.
-func (s *service) regionSlots(name string) int {
-	for i := range s.regions {
-		if s.regions[i].name == name {
-			return s.regions[i].slots
-		}
-	}
-	return 0
-}
-
 // maxObjectIDs bounds the objects with an ID. All IDs are dropped when it is
 // reached, together with the histories that refer to them.
 const maxObjectIDs = 16384
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -147,7 +147,9 @@
 		for range max(p.hostsPerDomain, 1) {
 			pool := newTestPool(domain, p.domains)
 			pool.settings.Host = fmt.Sprintf("%s-%d", domain, len(s.pools[domain]))
-			pool.settings.RegionHosts = func() int { return max(p.hostsPerDomain, 1) * p.domainsOfRegion(p.domains[domain]) }
+			pool.settings.HostCounts = func() (region, all int) {
+				return max(p.hostsPerDomain, 1) * p.domainsOfRegion(p.domains[domain]), max(p.hostsPerDomain, 1) * len(p.domains)
+			}
 			s.pools[domain] = append(s.pools[domain], pool)
 		}
 	}
