placement: a host expects an average load at upstreams that it has not heard of

The estimate now decays to the average of the upstreams of the service and region, and a report counts by the age of the one before.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -107,7 +107,8 @@
 		known := p.upstreams[entry.ID]
 		u := known
 		if known == nil || known.Address != entry.Address || known.Service != entry.Service || known.Incarnation != entry.Incarnation {
-			u = newUpstream(entry, p.settings.Regions[entry.FailureDomain], p.sendCount(entry.ID), p.limitRecord(entry.ID, entry.Incarnation, now), p.announcementsOf(entry.ID, entry.Incarnation))
+			region := p.settings.Regions[entry.FailureDomain]
+			u = newUpstream(entry, region, p.service(entry.Service).averageLoad(region), p.sendCount(entry.ID), p.limitRecord(entry.ID, entry.Incarnation, now), p.announcementsOf(entry.ID, entry.Incarnation))
 			u.ColdUntil = 0
 			u.peerRequests = float64(p.peerRequests[entry.ID])
 		}
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -16,8 +16,9 @@
 	objectIDs map[string]objectID
 	sentTo    map[objectID][]*upstream // upstreams to which this host has sent an object, latest last
 	cache     *cacheModel
-	owned     ownership // of this host's region
-	rotation  int       // placements so far, for the rotation of sampled upstreams
+	owned     ownership               // of this host's region
+	loads     map[string]*averageLoad // by region
+	rotation  int                     // placements so far, for the rotation of sampled upstreams
 }
 
 // regionSize counts the usable upstreams of a region.
@@ -29,7 +30,15 @@
 }
 
 func newService(maxShift float64) *service {
-	return &service{owned: newOwnership(maxShift), cache: newCacheModel(), objectIDs: map[string]objectID{}, sentTo: map[objectID][]*upstream{}}
+	return &service{owned: newOwnership(maxShift), loads: map[string]*averageLoad{}, cache: newCacheModel(), objectIDs: map[string]objectID{}, sentTo: map[objectID][]*upstream{}}
+}
+
+// averageLoad returns the average load of the upstreams of a region.
+func (s *service) averageLoad(region string) *averageLoad {
+	if s.loads[region] == nil {
+		s.loads[region] = &averageLoad{}
+	}
+	return s.loads[region]
 }
 
 // rebuildIndex derives the other fields from the set of upstreams.
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -65,6 +65,7 @@
 	noise               float64            // fraction of the upstreams that noiseSlowdown makes slow at a time
 	hideNoise           bool               // upstreams don't report it
 	slowRequests        float64            // fraction of the requests that take slowRequestFactor times as long
+	queue               int                // requests that may wait at an upstream, which refuses others; zero: any number
 	shareLoads          bool               // hosts share what upstreams report, and report to their region
 	peerReportInterval  time.Duration      // interval of the reports between hosts; zero: none
 }
@@ -88,6 +89,7 @@
 // simulationResult counts the outcomes of the requests.
 type simulationResult struct {
 	requests, onTime, late, refused, expired int
+	shed                                     int // of refused, by the upstream
 	crossDomain                              int // sent to another failure domain
 	executions                               map[string]int
 	worstDomainRatio                         float64           // smallest ratio of on-time responses of a failure domain
@@ -321,6 +323,14 @@
 		s.result.refused++
 		return
 	}
+	if s.pattern.queue > 0 && u.running >= u.slots && len(u.queue) >= s.pattern.queue {
+		s.result.refused++
+		s.result.shed++
+		if j.placed != nil {
+			j.placed.Done(Report{Outcome: OutcomeNotRun, Load: &Load{Running: u.running, Waiting: len(u.queue), Slots: u.slots}}, s.now)
+		}
+		return
+	}
 	j.upstream = u
 	if u.entry.FailureDomain != domain {
 		s.result.crossDomain++
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -17,9 +17,13 @@
 }
 
 const (
-	// upstreamLoadDecay is the time constant with which the load that an upstream
-	// reported loses weight.
+	// upstreamLoadDecay is the time constant with which the load that an upstream reported
+	// loses weight against the average of the upstreams of its service and region.
 	upstreamLoadDecay = 1500 * time.Millisecond
+	// averageLoadWeight is the weight of a report in that average, and averageLoadDecay the time
+	// constant with which it is forgotten without reports.
+	averageLoadWeight = 0.02
+	averageLoadDecay  = 5 * time.Second
 	// successRecovery is the time constant with which the success probability returns
 	// to 1 without new failures.
 	successRecovery = 3 * time.Second
@@ -54,7 +58,8 @@
 
 	inflight       int
 	served         bool             // whether this host has sent it a request
-	otherRequests  float64          // requests of other hosts, by the load last reported
+	otherRequests  float64          // requests of other hosts, by the loads last reported
+	average        *averageLoad     // of the upstreams of the service and region
 	upstreamLoadAt boottime.Instant // when that load was reported
 	slots          int
 
@@ -77,9 +82,9 @@
 	consecutiveUnreachable int // connections in a row that could not be opened
 }
 
-func newUpstream(entry catalog.Upstream, region string, sends *sendCount, limit *requestLimit, announced *announcements) *upstream {
+func newUpstream(entry catalog.Upstream, region string, average *averageLoad, sends *sendCount, limit *requestLimit, announced *announcements) *upstream {
 	return &upstream{
-		Upstream: entry, region: region, slots: max(entry.Slots, 1),
+		Upstream: entry, region: region, average: average, slots: max(entry.Slots, 1),
 		slowdown: 1, reportedSlowdown: 1, successProbability: 1,
 		sends: sends, limit: limit, announced: announced,
 	}
@@ -113,7 +118,8 @@
 
 // occupancy returns the expected number of requests at the upstream.
 func (u *upstream) occupancy(now boottime.Instant) float64 {
-	others := u.otherRequests * decay(now.Sub(u.upstreamLoadAt), upstreamLoadDecay)
+	weight := decay(now.Sub(u.upstreamLoadAt), upstreamLoadDecay)
+	others := weight*u.otherRequests + (1-weight)*u.average.perSlot(now)*float64(u.slots)
 	if now <= u.peerValidUntil {
 		others = max(others, u.peerRequests)
 	}
@@ -126,13 +132,32 @@
 		u.slots = load.Slots
 	}
 	others := max(0, float64(load.Running+load.Waiting-u.inflight))
-	u.otherRequests = (u.otherRequests*decay(now.Sub(u.upstreamLoadAt), upstreamLoadDecay) + others) / 2
+	weight := decay(now.Sub(u.upstreamLoadAt), upstreamLoadDecay)
+	u.otherRequests = (weight*u.otherRequests + others) / (weight + 1)
+	u.average.add(others/float64(u.slots), now)
 	u.upstreamLoadAt, u.reportedSlowdown = now, 1
 	if load.Slowdown > 0 {
 		u.reportedSlowdown = load.Slowdown
 	}
 }
 
+// averageLoad is the average of the requests of other hosts for each slot of some upstreams. Under
+// a load that is high everywhere, an upstream of which a host has heard nothing for a while is
+// probably as busy as the others; hosts that took it for idle sent it requests that waited.
+type averageLoad struct {
+	value     float64
+	updatedAt boottime.Instant
+}
+
+func (a *averageLoad) add(perSlot float64, now boottime.Instant) {
+	current := a.perSlot(now)
+	a.value, a.updatedAt = current+averageLoadWeight*(perSlot-current), now
+}
+
+func (a *averageLoad) perSlot(now boottime.Instant) float64 {
+	return a.value * decay(now.Sub(a.updatedAt), averageLoadDecay)
+}
+
 func (u *upstream) currentSuccessProbability(now boottime.Instant) float64 {
 	return 1 - (1-u.successProbability)*decay(now.Sub(u.successUpdatedAt), successRecovery)
 }
