placement: time in queues is not learned as service time

In an overload, the time that requests waited at upstreams was learned as the time in the slot, and objects that upstreams held as not held. Requests then went to upstreams that did not hold their object and took three times as long. A response counts only if its upstream reports that no request waits.

TestTimeInQueuesIsNotLearnedAsServiceTime failed before.

--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -138,8 +138,8 @@
 	e := p.pool.routeEstimate(&p.request)
 	e.kilobytes += sampleWeight * (report.Kilobytes - e.kilobytes)
 	observed := p.observedServiceTime(now)
-	if p.cold || p.chosen.wait > p.chosen.cachedMS || observed <= 0 {
-		return // the sample mostly measures the queue or the cold start
+	if p.cold || p.chosen.wait > p.chosen.cachedMS || observed <= 0 || report.Load != nil && report.Load.Waiting > 0 {
+		return // the sample mostly measures the queue, whose length is reported, or the cold start
 	}
 	slowdown := u.currentSlowdown(now)
 	cached := e.learn(observed/slowdown, p.request.Sticky)
--- a/internal/placement/speed_test.go
+++ b/internal/placement/speed_test.go
@@ -39,3 +39,21 @@
 	require.Greater(t, learned(1), 1.2, "slow by itself")
 	require.InDelta(t, 1, learned(2.5), 0.15, "slow because of its machine")
 }
+
+// In an overload, the time in queues was learned as the time in the slot, and objects that upstreams
+// held as not held, so that requests went to upstreams that did not hold them.
+func TestTimeInQueuesIsNotLearnedAsServiceTime(t *testing.T) {
+	p := poolOf(nil, entry("x", "a1"))
+	before := *p.routeEstimate(&Request{Route: "r", LatencyObjective: 500 * time.Millisecond})
+	now := t0
+	for range 20 {
+		placed, err := p.Place(requestAt(now), now)
+		require.NoError(t, err)
+		now = now.Add(900 * time.Millisecond)
+		placed.Done(Report{Outcome: OutcomeAnswered, Load: &Load{Running: 4, Waiting: 6, Slots: 4}, Kilobytes: 1}, now)
+		now = now.Add(20 * time.Second) // the load is forgotten
+	}
+	after := p.routeEstimate(&Request{Route: "r"})
+	require.InDelta(t, before.cachedMS, after.cachedMS, 1e-9)
+	require.InDelta(t, before.uncachedMS, after.uncachedMS, 1e-9)
+}
