forward: no method or header lets http.Transport send a request again

Callers of routes that are not idempotent had TRACE requests run twice when the upstream lost the response. http.Transport resends a request by itself if it takes it for replayable; the list of methods to guard against lacked TRACE, and the check of the second connection only counted.

Every request without a body now gets one that can't be replayed, unless its method needs http.NoBody for its Content-Length: 0 (POST, PUT, PATCH, which http.Transport replays only with an idempotency key in the header map). A second connection after bytes may have been sent is blocked before its first byte and the attempt fails, outcome unknown.

TestTransportNeverResends covers all methods and idempotency headers; it failed for TRACE.

--- a/internal/entry/forward/errors.go
+++ b/internal/entry/forward/errors.go
@@ -65,3 +65,12 @@
 
 // Error implements error.
 func (*PayloadClosedError) Error() string { return "request body is closed" }
+
+// ResentError reports that http.Transport was about to send a request on a second connection
+// although bytes of it may have been sent on another. The second connection got none.
+type ResentError struct{}
+
+// Error implements error.
+func (*ResentError) Error() string {
+	return "the request was not sent on a second connection: it may have been sent on another"
+}
--- a/internal/entry/forward/transport.go
+++ b/internal/entry/forward/transport.go
@@ -90,7 +90,8 @@
 }
 
 // preventResend changes request so that http.Transport does not consider it
-// replayable. request must be a copy of the caller's request.
+// replayable, whatever its method and headers. It is the only place that decides this.
+// request must be a copy of the caller's request.
 func preventResend(request *http.Request) *http.Request {
 	request.GetBody = nil
 	if request.Body == nil || request.Body == http.NoBody {
@@ -100,18 +101,18 @@
 	return request
 }
 
-// preventEmptyResend gives a request without a body an empty body that
-// http.Transport can't replay. Methods other than GET, HEAD and OPTIONS don't need
-// it: they are not replayable without an idempotency key in the header map. The
-// identity encoding keeps the framing unchanged: http.Transport writes neither a
-// length nor chunks and does not probe the body.
+// preventEmptyResend gives a request without a body an empty body that http.Transport
+// can't replay. The identity encoding keeps the framing unchanged: http.Transport writes
+// neither a length nor chunks and does not probe the body. Only the methods for which
+// http.Transport writes "Content-Length: 0" keep http.NoBody; it considers these
+// replayable only with an idempotency key, which hideIdempotencyKey hides.
 func preventEmptyResend(request *http.Request) {
 	switch request.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, "":
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		request.Body = http.NoBody
+	default:
 		request.Body = io.NopCloser(strings.NewReader(""))
 		request.TransferEncoding = []string{"identity"}
-	default:
-		request.Body = http.NoBody
 	}
 }
 
@@ -135,7 +136,7 @@
 			copied = true
 		}
 		delete(header, names[0])
-		header[names[1]] = values
+		header[names[1]] = append(values[:len(values):len(values)], header[names[1]]...)
 	}
 	return header
 }
--- a/internal/entry/forward/transport_test.go
+++ b/internal/entry/forward/transport_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
+	"peridotrail/internal/invariant"
 	"peridotrail/internal/problem"
 )
 
@@ -74,26 +75,63 @@
 	require.NoError(t, response.Body.Close())
 }
 
+// A request whose response was lost ran a second time: http.Transport sends requests of some
+// methods, or with some headers, again by itself.
 func TestTransportNeverResends(t *testing.T) {
-	for _, method := range []string{"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"} {
-		for _, body := range []string{"", "adult"} {
-			t.Run(method+" "+body, func(t *testing.T) {
-				s := newFlakyServer(t)
-				transport := NewTransport(func() int { return 4 })
-				defer transport.CloseIdleConnections()
-				sendAndReadAll(t, transport, s.request(t, "POST", "warm"))
-				_, err := transport.RoundTrip(s.request(t, method, body))
-				var failure *Error
-				require.ErrorAs(t, err, &failure)
-				require.Equal(t, problem.ExecutedUnknown, failure.Executed)
-				require.Equal(t, PhaseSend, failure.Phase)
-				require.Equal(t, int64(2), s.heads.Load())
-				require.Equal(t, int64(1), s.conns.Load())
-			})
+	methods := []string{
+		"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE", "CONNECT", "PROPFIND", "UNKNOWN",
+	}
+	headers := map[string][]string{
+		"no key": nil, "key": {"Idempotency-Key"}, "x-key": {"X-Idempotency-Key"},
+		"keys": {"Idempotency-Key", "X-Idempotency-Key"}, "lower case": {"idempotency-key"},
+	}
+	for _, method := range methods {
+		for header, names := range headers {
+			for _, body := range []string{"", "adult"} {
+				t.Run(method+" "+header+" "+body, func(t *testing.T) {
+					s := newFlakyServer(t)
+					transport := NewTransport(func() int { return 4 })
+					defer transport.CloseIdleConnections()
+					sendAndReadAll(t, transport, s.request(t, "POST", "warm"))
+					r := s.request(t, method, body)
+					r.Header = http.Header{}
+					for _, name := range names {
+						r.Header[name] = []string{"k"}
+					}
+					_, err := transport.RoundTrip(r)
+					var failure *Error
+					require.ErrorAs(t, err, &failure)
+					require.Equal(t, problem.ExecutedUnknown, failure.Executed)
+					require.Equal(t, PhaseSend, failure.Phase)
+					require.Equal(t, int64(2), s.heads.Load())
+					require.Equal(t, int64(1), s.conns.Load())
+				})
+			}
 		}
 	}
 }
 
+// A request that was written on one connection was written on a second one if http.Transport
+// took it for replayable.
+func TestSecondConnectionOfASentRequestIsRefused(t *testing.T) {
+	violations := 0
+	defer invariant.SetHandler(func(*invariant.Violation) { violations++ })()
+	s := newFlakyServer(t)
+	transport := NewTransport(func() int { return 4 })
+	defer transport.CloseIdleConnections()
+	sendAndReadAll(t, transport, s.request(t, "POST", "warm"))
+	r := s.request(t, "GET", "")
+	r.Body, r.GetBody = http.NoBody, nil
+	_, err := track(transport.base, r)
+	var failure *Error
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, problem.ExecutedUnknown, failure.Executed)
+	var resent *ResentError
+	require.ErrorAs(t, err, &resent)
+	require.Equal(t, 1, violations)
+	require.Equal(t, int64(2), s.heads.Load())
+}
+
 // http.Transport itself resends the same request, which shows that
 // TestTransportNeverResends can fail.
 func TestNetHTTPTransportResends(t *testing.T) {
@@ -106,7 +144,7 @@
 }
 
 func TestFramingOfEmptyBodiesIsUnchanged(t *testing.T) {
-	for method, want := range map[string]string{"GET": "", "HEAD": "", "OPTIONS": "", "DELETE": "", "POST": "0", "PUT": "0", "PATCH": "0"} {
+	for method, want := range map[string]string{"GET": "", "HEAD": "", "OPTIONS": "", "DELETE": "", "TRACE": "", "PROPFIND": "", "UNKNOWN": "", "POST": "0", "PUT": "0", "PATCH": "0"} {
 		t.Run(method, func(t *testing.T) {
 			seen := make(chan *http.Request, 1)
 			server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { seen <- r })}
--- a/internal/entry/forward/write_tracker.go
+++ b/internal/entry/forward/write_tracker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -21,6 +22,7 @@
 	check    func() error // see WithSendCheck; nil if there is none
 	cancel   context.CancelCauseFunc
 	withheld error // result of check that kept the request from being written
+	resent   bool  // a second connection was refused
 }
 
 type sendCheckKey struct{}
@@ -44,6 +46,10 @@
 		return
 	}
 	invariant.Check(!t.mayHaveSent, invariant.AtMostOnce, "a request was moved to another connection after bytes were written")
+	if t.mayHaveSent {
+		t.refuseResendLocked(info.Conn)
+		return
+	}
 	if !ok {
 		t.mayHaveSent = true
 		return
@@ -61,6 +67,19 @@
 	}
 }
 
+// refuseResendLocked keeps a request that may have been sent from being written on a second
+// connection. The caller holds t.mu.
+func (t *writeTracker) refuseResendLocked(second net.Conn) {
+	t.resent = true
+	if c, ok := second.(*conn); ok {
+		c.blockWrites()
+	}
+	_ = second.Close() // no other request may use the blocked connection
+	if t.cancel != nil {
+		t.cancel(&ResentError{}) // ends further tries of http.Transport
+	}
+}
+
 // blockWritesLocked blocks further writes on the current connection, whose write
 // goroutine may still be about to write. The caller holds t.mu.
 func (t *writeTracker) blockWritesLocked() {
@@ -91,9 +110,13 @@
 	return t.conn != nil
 }
 
-// roundTrip sends a request with base, tracks its writes and converts an error to
-// *Error.
+// roundTrip sends a request with base, at most once.
 func roundTrip(base *http.Transport, request *http.Request) (*http.Response, error) {
+	return track(base, preventResend(request.WithContext(request.Context())))
+}
+
+// track sends a request with base, tracks its writes and converts an error to *Error.
+func track(base *http.Transport, request *http.Request) (*http.Response, error) {
 	tracker := &writeTracker{}
 	ctx := request.Context()
 	if check, ok := ctx.Value(sendCheckKey{}).(func() error); ok {
@@ -102,7 +125,7 @@
 	}
 	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
 	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
-	response, err := base.RoundTrip(preventResend(request))
+	response, err := base.RoundTrip(request)
 	if err != nil {
 		return nil, tracker.newError(request, err)
 	}
@@ -139,8 +162,11 @@
 	executed := t.executed()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.withheld != nil && executed == problem.ExecutedNo {
+	switch {
+	case t.withheld != nil && executed == problem.ExecutedNo:
 		err = t.withheld
+	case t.resent:
+		err = &ResentError{}
 	}
 	return &Error{Target: request.URL.Host, Phase: phase, Executed: executed, Err: err}
 }
