gateway: upstreams get the request target unchanged, or the caller gets 400

Of a target that begins with two slashes, upstreams got an absolute one ("//a/b" as "http://a/b"), or the caller got 502. "OPTIONS *" was answered with 200 by net/http itself. A relayed target with "#" was cut for the choice of the route at the other host.

http.Transport puts the scheme before an opaque URL that begins with two slashes. Such a target is now sent as a path; if http.Transport would escape it in another way, the caller gets 400 before anything is sent. The servers of a gateway pass "OPTIONS *" to their handlers, where no route matches: 404. Relays carry the target as it was received and parse it as net/http does. Targets with two slashes are still not relayed, since hosts of earlier builds read them as a host name.

--- a/internal/fleet/relay/client.go
+++ b/internal/fleet/relay/client.go
@@ -209,7 +209,7 @@
 	head := requestHead{
 		Metadata:      metadata,
 		Method:        request.Method,
-		URI:           request.URL.RequestURI(),
+		URI:           requestTarget(request),
 		Host:          request.Host,
 		Header:        request.Header,
 		ContentLength: request.ContentLength,
@@ -226,6 +226,15 @@
 	return head
 }
 
+// requestTarget returns the target of a request: as it was received, if it was, else that of
+// its URL.
+func requestTarget(request *http.Request) string {
+	if request.RequestURI != "" {
+		return request.RequestURI
+	}
+	return request.URL.RequestURI()
+}
+
 func closeBody(request *http.Request) {
 	if request.Body != nil {
 		_ = request.Body.Close()
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -79,6 +79,24 @@
 	}
 }
 
+// The receiving host read "//a/b" as the path "/b" of a host and cut "#c" from a path, so that it
+// chose the route by another path.
+func TestTargetArrivesUnchanged(t *testing.T) {
+	client, b := startPair(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Seen", r.RequestURI+" "+r.URL.Path)
+	})
+	for target, path := range map[string]string{
+		"//a/b?c": "//a/b", "/a#b": "/a#b", "/a%2fb?": "/a/b", "*": "*", "/?%zz": "/", "http://h//a": "//a", "/a|b": "/a|b",
+	} {
+		sent := newRequest(t, t.Context(), http.MethodGet, "/", nil)
+		sent.RequestURI = target
+		response, err := client.Send(b.Addr(), relay.Metadata{}, sent)
+		require.NoError(t, err, target)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, target+" "+path, response.Header.Get("X-Seen"))
+	}
+}
+
 func TestTruncatedResponse(t *testing.T) {
 	cases := map[string]http.HandlerFunc{
 		"aborted": func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/fleet/relay/server.go
+++ b/internal/fleet/relay/server.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -101,10 +103,13 @@
 }
 
 func newRequest(ctx context.Context, head requestHead, stream fleet.Stream) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, head.Method, head.URI, nil)
+	request, err := http.NewRequestWithContext(ctx, head.Method, "/", nil)
 	if err != nil {
 		return nil, err
 	}
+	if request.URL, err = parseTarget(head.Method, head.URI); err != nil {
+		return nil, err
+	}
 	request.Host = head.Host
 	request.RequestURI = head.URI
 	request.RemoteAddr = head.Client
@@ -122,6 +127,19 @@
 	return request, nil
 }
 
+// parseTarget parses a request target as net/http does for a request that it reads.
+func parseTarget(method, target string) (*url.URL, error) {
+	if method != http.MethodConnect || strings.HasPrefix(target, "/") {
+		return url.ParseRequestURI(target)
+	}
+	parsed, err := url.ParseRequestURI("http://" + target) // the target is a host and a port
+	if err != nil {
+		return nil, err
+	}
+	parsed.Scheme = ""
+	return parsed, nil
+}
+
 // responseWriter implements http.ResponseWriter and http.Flusher on a stream.
 type responseWriter struct {
 	stream          fleet.Stream
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"os"
 	"time"
 
@@ -30,6 +31,7 @@
 	service  string
 	payload  *forward.Payload
 	header   http.Header // end-to-end headers of the request
+	target   url.URL     // of the request to an upstream, without the host
 	deadline boottime.Instant
 
 	lastPlacement   *placement.Placement // nil before the first attempt
@@ -97,6 +99,11 @@
 	if rejection := x.checkServiceUsable(); rejection != nil {
 		return rejection
 	}
+	target, ok := targetURL(x.request)
+	if !ok {
+		return notRunProblem(problem.TypeMalformed, "the request target can't be sent unchanged")
+	}
+	x.target = target
 	x.header = endToEndHeaders(x.request.Header)
 	x.deadline = x.start.Add(x.route.Timeout)
 	if x.call.Deadline > 0 {
--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -35,7 +34,7 @@
 	}
 	return x.gateway.relays != nil && x.relayedBy == "" && !x.arrived && len(x.relayTried) < tries &&
 		x.deadline.Sub(boottime.Now()) >= minRelayTime &&
-		!strings.HasPrefix(x.request.RequestURI, "//") // it would be read as a host name
+		!strings.HasPrefix(x.request.RequestURI, "//") // hosts of earlier builds read it as a host name
 }
 
 // relay asks other hosts to send the request until one does. ok is false if none did; the
@@ -140,7 +139,7 @@
 // the caller.
 func (x *exchange) relayedRequest(ctx context.Context) *http.Request {
 	request := &http.Request{
-		Method: x.request.Method, URL: &url.URL{Opaque: x.request.RequestURI}, Host: x.request.Host,
+		Method: x.request.Method, URL: x.request.URL, RequestURI: x.request.RequestURI, Host: x.request.Host,
 		Header: x.header, ContentLength: x.payload.Length(), RemoteAddr: x.request.RemoteAddr, Body: http.NoBody,
 	}
 	if request.ContentLength != 0 {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -174,6 +174,8 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
+			// Otherwise net/http itself responds to "OPTIONS *" with 200.
+			DisableGeneralOptionsHandler: true,
 		}
 		servers = append(servers, server)
 		go func() {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"syscall"
 	"time"
 
@@ -259,9 +258,11 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // prevents net/http from adding its own
 	}
+	target := x.target
+	target.Host = placed.Upstream.Address
 	request := &http.Request{
 		Method:        x.request.Method,
-		URL:           &url.URL{Scheme: "http", Host: placed.Upstream.Address, Opaque: x.request.RequestURI},
+		URL:           &target,
 		Host:          x.request.Host,
 		Header:        header,
 		Proto:         "HTTP/1.1",
