gateway: a stop answers requests that were sent on kept connections

Callers whose request had arrived on a kept connection just before a host closed it in a stop got no response. http.Server.Shutdown closes a connection as idle until the head of the next request has been read whole.

In a stop, the goroutine that reads a connection now decides: it tries to read once more, and closes the connection only if nothing has arrived. Responses of all servers carry Connection: close from the moment at which the listeners close (those to callers from the start of the stop, as before). http.Server.Shutdown is called when no connection is left or the grace has ended.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 	dial       forward.DialFunc
 	relays     *relays // nil if the host neither relays requests nor sends them for others; set before requests are served
 	started    int64   // incarnation of this process
+	conns      *connTracker
 
 	shuttingDown atomic.Bool // the readiness check fails and callers are asked to close connections
 	rejecting    atomic.Bool // new requests are rejected
@@ -80,6 +81,7 @@
 		links:      linkhealth.NewTracker(),
 		dial:       o.DialUpstream,
 		started:    time.Now().UnixNano(),
+		conns:      newConnTracker(),
 		bodies:     forward.NewPayloadBudget(o.Settings.bodyMemory()),
 	}
 	g.state = newState(settings, o.Schema, o.Logger, g.limits, boottime.Now, func() boottime.Instant { return g.replica.Proof() })
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -122,13 +122,14 @@
 	time.Sleep(scale(grace, rejectAfterFraction))
 	g.rejecting.Store(true)
 	var stopping sync.WaitGroup
-	for _, server := range servers {
-		stopping.Go(func() {
+	stopping.Go(func() {
+		g.conns.drain(shutdownCtx)
+		for _, server := range servers {
 			if err := server.Shutdown(shutdownCtx); err != nil {
 				_ = level.Warn(g.logger).Log("event", "requests cut by the end of the grace", "address", server.Addr, "err", err)
 			}
-		})
-	}
+		}
+	})
 	if g.relays != nil {
 		stopping.Go(func() { g.relays.drain(shutdownCtx) })
 	}
@@ -170,16 +171,17 @@
 		}
 		server := &http.Server{
 			Addr:              each.address,
-			Handler:           each.handler,
+			Handler:           g.conns.handler(each.handler),
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 			// Otherwise net/http itself responds to "OPTIONS *" with 200.
 			DisableGeneralOptionsHandler: true,
+			ConnState:                    g.conns.stateChanged,
 		}
 		servers = append(servers, server)
 		go func() {
-			if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+			if err := server.Serve(g.conns.listener(listener)); err != nil && err != http.ErrServerClosed {
 				_ = level.Error(g.logger).Log("event", "listener failed", "address", each.address, "err", err)
 			}
 		}()
