gateway: a response with an invalid status is a broken response

An upstream in trouble sends responses with a status such as 000. Callers got 600 and 999, signed or not, and a signed 101, had their connection closed after a signed 000, 001 or 099, and got 503 if the response had Not-Executed, although nothing in it can be relied on. Through a relay a 000 became a 200.

net/http returns any status from 0 to 999 but informational ones; no place checked it. httpstatus.Check says which status a final response may have, 200 to 599. The gateway checks it before it reads anything else of a response, the relay on both sides. Such a response is counted (response_invalid), its connection is closed, the outcome of the request is unknown, and it is sent again only where the route allows. No crash probe is started.

--- a/internal/fleet/relay/client.go
+++ b/internal/fleet/relay/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"peridotrail/internal/fleet"
+	"peridotrail/internal/httpstatus"
 )
 
 // Client relays requests to other hosts. It is safe for concurrent use.
@@ -169,6 +170,9 @@
 	if err := fleet.ReadFrame(e.stream, &head, maxHeadFrameSize); err != nil {
 		return nil, err
 	}
+	if err := httpstatus.Check(head.Status); err != nil {
+		return nil, err
+	}
 	response := &http.Response{
 		Status:        fmt.Sprintf("%d %s", head.Status, http.StatusText(head.Status)),
 		StatusCode:    head.Status,
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -16,6 +16,7 @@
 	"peridotrail/internal/fleet/fleettest"
 	"peridotrail/internal/fleet/relay"
 	"peridotrail/internal/host"
+	"peridotrail/internal/httpstatus"
 )
 
 func startPair(t *testing.T, handler http.HandlerFunc) (*relay.Client, *fleettest.Process) {
@@ -97,6 +98,38 @@
 	}
 }
 
+// A handler's response with status 0 arrived as a 200, and any status of a peer was passed on.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	ca := fleettest.Authority(t)
+	for _, status := range []int{-1, 0, 1, 20, 99, 101, 199, 600, 999, 1 << 20} {
+		sent := func() *http.Request { return newRequest(t, t.Context(), http.MethodGet, "/", nil) }
+		requireBroken := func(_ *http.Response, err error) {
+			var failure *relay.Error
+			require.ErrorAs(t, err, &failure, "status %d", status)
+			require.False(t, failure.NotRun)
+		}
+		if status != 199 { // of a handler it is informational
+			client, b := startPair(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(status)
+				_, _ = w.Write([]byte("ok"))
+			})
+			requireBroken(client.Send(b.Addr(), relay.Metadata{}, sent()))
+		}
+		a := fleettest.Start(t, ca, fleet.Options{Self: host.Identity{ID: "a", FailureDomain: "toronto"}})
+		peer := fleettest.Start(t, ca, fleet.Options{Self: host.Identity{ID: "b", FailureDomain: "detroit"}}, func(transport *fleet.Transport) {
+			transport.HandleStream(relay.StreamKind, func(_ context.Context, _ host.Identity, stream fleet.Stream) {
+				_ = fleet.WriteFrame(stream, map[int]int{1: status, 3: 0}, 1<<10)
+				_ = stream.CloseWrite()
+			})
+		})
+		response, err := (&relay.Client{Streams: a}).Send(peer.Addr(), relay.Metadata{}, sent())
+		requireBroken(response, err)
+		var invalid *httpstatus.InvalidError
+		require.ErrorAs(t, err, &invalid)
+		require.Equal(t, status, invalid.Status)
+	}
+}
+
 func TestTruncatedResponse(t *testing.T) {
 	cases := map[string]http.HandlerFunc{
 		"aborted": func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/fleet/relay/server.go
+++ b/internal/fleet/relay/server.go
@@ -17,6 +17,7 @@
 
 	"peridotrail/internal/fleet"
 	"peridotrail/internal/host"
+	"peridotrail/internal/httpstatus"
 )
 
 // Server serves relayed requests with an http.Handler. The handler gets the sending
@@ -167,12 +168,15 @@
 func (w *responseWriter) Header() http.Header { return w.header }
 
 // WriteHeader implements http.ResponseWriter. Informational responses (1xx) are not
-// relayed.
+// relayed. A response with an invalid status is aborted.
 func (w *responseWriter) WriteHeader(status int) {
-	if w.headWritten || status < http.StatusOK {
+	if w.headWritten || isInformational(status) {
 		return
 	}
 	w.headWritten = true
+	if w.err = httpstatus.Check(status); w.err != nil {
+		return
+	}
 	w.noBody = hasNoBody(w.method, status)
 	if length, err := strconv.ParseInt(w.header.Get("Content-Length"), 10, 64); err == nil {
 		w.announcedLength = length
@@ -181,6 +185,11 @@
 	w.err = fleet.WriteFrame(w.buffer, head, maxHeadFrameSize)
 }
 
+// isInformational reports whether another response follows one with the status.
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // Write implements http.ResponseWriter.
 func (w *responseWriter) Write(p []byte) (int, error) {
 	w.WriteHeader(http.StatusOK)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -108,6 +108,12 @@
 	metrics.GetOrRegisterCounter("response.foreign", m.registry).Inc(1)
 }
 
+// countInvalidResponse counts a response of an upstream or of another host with an invalid
+// status.
+func (m *requestMetrics) countInvalidResponse() {
+	metrics.GetOrRegisterCounter("response.invalid", m.registry).Inc(1)
+}
+
 // countLeaving counts a response of an upstream that says that it leaves.
 func (m *requestMetrics) countLeaving() {
 	metrics.GetOrRegisterCounter("upstream.leaving", m.registry).Inc(1)
--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -7,11 +7,13 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
 	"peridotrail/internal/fleet/relay"
+	"peridotrail/internal/httpstatus"
 	"peridotrail/internal/problem"
 	"peridotrail/internal/routing"
 )
@@ -84,6 +86,10 @@
 		if ctx.Err() != nil {
 			return attemptOutcome{result: resultCancelled}, false, err.Error()
 		}
+		var invalid *httpstatus.InvalidError
+		if errors.As(err, &invalid) {
+			x.gateway.metrics.countInvalidResponse()
+		}
 		result, unable := relayResult(err)
 		return attemptOutcome{result: result}, unable, err.Error()
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -14,6 +14,7 @@
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/entry/forward"
+	"peridotrail/internal/httpstatus"
 	"peridotrail/internal/invariant"
 	"peridotrail/internal/placement"
 	"peridotrail/internal/problem"
@@ -63,10 +64,13 @@
 	if err != nil {
 		return x.finishFailed(ctx, placed, err)
 	}
-	reply := x.gateway.dialect.ReadReply(response)
 	now := boottime.Now()
 	x.arrived = true
 	x.gateway.links.Responded(now)
+	if err := httpstatus.Check(response.StatusCode); err != nil {
+		return x.finishInvalid(placed, response, err)
+	}
+	reply := x.gateway.dialect.ReadReply(response)
 	if reply.CallID != x.call.ID { // also without an ID: a copy of an earlier response may lack it
 		x.gateway.metrics.countForeignResponse()
 		forward.Discard(response)
@@ -170,6 +174,16 @@
 	return attemptOutcome{result: resultNotRun}
 }
 
+// finishInvalid ends an attempt whose response has an invalid status. Nothing that the response
+// says is used, also not that the request has not run.
+func (x *exchange) finishInvalid(placed *placement.Placement, response *http.Response, err error) attemptOutcome {
+	x.gateway.metrics.countInvalidResponse()
+	x.logFailedAttempt(placed, err)
+	forward.Discard(response)
+	placed.Done(placement.Report{Outcome: placement.OutcomeFailed}, boottime.Now())
+	return attemptOutcome{result: resultUnknown}
+}
+
 // finishFailed ends an attempt that failed without a complete response.
 func (x *exchange) finishFailed(ctx context.Context, placed *placement.Placement, err error) attemptOutcome {
 	now := boottime.Now()
