--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"peridotrail/internal/httpstatus"
 	"peridotrail/internal/kvstore"
 	"peridotrail/internal/replica"
 )
@@ -153,3 +154,19 @@
 	require.Equal(t, kvstore.Revision{Number: 7}, provider.gotAfter)
 	require.Equal(t, earlierResponse, string(body), "they decode an array of exactly these fields")
 }
+
+// A response with an invalid status is none: the host is asked again.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999", "-00", "+20"} {
+		peer := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 0\r\n\r\n")
+				_ = conn.Close()
+			}
+		}))
+		_, err := NewClient().Changes(t.Context(), peer, kvstore.Revision{}, time.Second)
+		require.True(t, kvstore.IsKind(err, kvstore.KindUnavailable), "%s: %v", status, err)
+		var invalid *httpstatus.InvalidError
+		require.ErrorAs(t, err, &invalid, status)
+	}
+}
