--- a/internal/fleet/relay/client.go
+++ b/internal/fleet/relay/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"peridotrail/internal/fleet"
+	"peridotrail/internal/httpstatus"
 )
 
 // Client relays requests to other hosts. It is safe for concurrent use.
@@ -169,6 +170,9 @@
 	if err := fleet.ReadFrame(e.stream, &head, maxHeadFrameSize); err != nil {
 		return nil, err
 	}
+	if err := httpstatus.Check(head.Status); err != nil {
+		return nil, err
+	}
 	response := &http.Response{
 		Status:        fmt.Sprintf("%d %s", head.Status, http.StatusText(head.Status)),
 		StatusCode:    head.Status,
@@ -209,7 +213,7 @@
 	head := requestHead{
 		Metadata:      metadata,
 		Method:        request.Method,
-		URI:           request.URL.RequestURI(),
+		URI:           requestTarget(request),
 		Host:          request.Host,
 		Header:        request.Header,
 		ContentLength: request.ContentLength,
@@ -226,6 +230,15 @@
 	return head
 }
 
+// requestTarget returns the target of a request: as it was received, if it was, else that of
+// its URL.
+func requestTarget(request *http.Request) string {
+	if request.RequestURI != "" {
+		return request.RequestURI
+	}
+	return request.URL.RequestURI()
+}
+
 func closeBody(request *http.Request) {
 	if request.Body != nil {
 		_ = request.Body.Close()
--- a/internal/fleet/relay/server.go
+++ b/internal/fleet/relay/server.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -15,6 +17,7 @@
 
 	"peridotrail/internal/fleet"
 	"peridotrail/internal/host"
+	"peridotrail/internal/httpstatus"
 )
 
 // Server serves relayed requests with an http.Handler. The handler gets the sending
@@ -101,10 +104,13 @@
 }
 
 func newRequest(ctx context.Context, head requestHead, stream fleet.Stream) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, head.Method, head.URI, nil)
+	request, err := http.NewRequestWithContext(ctx, head.Method, "/", nil)
 	if err != nil {
 		return nil, err
 	}
+	if request.URL, err = parseTarget(head.Method, head.URI); err != nil {
+		return nil, err
+	}
 	request.Host = head.Host
 	request.RequestURI = head.URI
 	request.RemoteAddr = head.Client
@@ -122,6 +128,19 @@
 	return request, nil
 }
 
+// parseTarget parses a request target as net/http does for a request that it reads.
+func parseTarget(method, target string) (*url.URL, error) {
+	if method != http.MethodConnect || strings.HasPrefix(target, "/") {
+		return url.ParseRequestURI(target)
+	}
+	parsed, err := url.ParseRequestURI("http://" + target) // the target is a host and a port
+	if err != nil {
+		return nil, err
+	}
+	parsed.Scheme = ""
+	return parsed, nil
+}
+
 // responseWriter implements http.ResponseWriter and http.Flusher on a stream.
 type responseWriter struct {
 	stream          fleet.Stream
@@ -149,12 +168,15 @@
 func (w *responseWriter) Header() http.Header { return w.header }
 
 // WriteHeader implements http.ResponseWriter. Informational responses (1xx) are not
-// relayed.
+// relayed. A response with an invalid status is aborted.
 func (w *responseWriter) WriteHeader(status int) {
-	if w.headWritten || status < http.StatusOK {
+	if w.headWritten || isInformational(status) {
 		return
 	}
 	w.headWritten = true
+	if w.err = httpstatus.Check(status); w.err != nil {
+		return
+	}
 	w.noBody = hasNoBody(w.method, status)
 	if length, err := strconv.ParseInt(w.header.Get("Content-Length"), 10, 64); err == nil {
 		w.announcedLength = length
@@ -163,6 +185,11 @@
 	w.err = fleet.WriteFrame(w.buffer, head, maxHeadFrameSize)
 }
 
+// isInformational reports whether another response follows one with the status.
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // Write implements http.ResponseWriter.
 func (w *responseWriter) Write(p []byte) (int, error) {
 	w.WriteHeader(http.StatusOK)
--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -3,16 +3,17 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
 	"peridotrail/internal/fleet/relay"
+	"peridotrail/internal/httpstatus"
 	"peridotrail/internal/problem"
 	"peridotrail/internal/routing"
 )
@@ -35,7 +36,7 @@
 	}
 	return x.gateway.relays != nil && x.relayedBy == "" && !x.arrived && len(x.relayTried) < tries &&
 		x.deadline.Sub(boottime.Now()) >= minRelayTime &&
-		!strings.HasPrefix(x.request.RequestURI, "//") // it would be read as a host name
+		!strings.HasPrefix(x.request.RequestURI, "//") // hosts of earlier builds read it as a host name
 }
 
 // relay asks other hosts to send the request until one does. ok is false if none did; the
@@ -85,6 +86,10 @@
 		if ctx.Err() != nil {
 			return attemptOutcome{result: resultCancelled}, false, err.Error()
 		}
+		var invalid *httpstatus.InvalidError
+		if errors.As(err, &invalid) {
+			x.gateway.metrics.countInvalidResponse()
+		}
 		result, unable := relayResult(err)
 		return attemptOutcome{result: result}, unable, err.Error()
 	}
@@ -140,7 +145,7 @@
 // the caller.
 func (x *exchange) relayedRequest(ctx context.Context) *http.Request {
 	request := &http.Request{
-		Method: x.request.Method, URL: &url.URL{Opaque: x.request.RequestURI}, Host: x.request.Host,
+		Method: x.request.Method, URL: x.request.URL, RequestURI: x.request.RequestURI, Host: x.request.Host,
 		Header: x.header, ContentLength: x.payload.Length(), RemoteAddr: x.request.RemoteAddr, Body: http.NoBody,
 	}
 	if request.ContentLength != 0 {
