gateway: refuse keys at a start while others have a newer policy

It read the older policy and took that read as a proof that its keys are current. Only the memory of a running process kept versions from going back.

Hosts now register with the era of their lease and the policy version that they have in force. They register again in each era anyway, so there are no further calls. A host that starts in a named era waits for the hosts that registered in an earlier era, 3 s at most, and refuses requests with keys (503, not run) while it waits or while a registered host has a newer version. Nothing changes if the store names no eras.

--- a/internal/catalog/members.go
+++ b/internal/catalog/members.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "peridotrail/internal/boottime"
+import (
+	"peridotrail/internal/boottime"
+	"peridotrail/internal/kvstore"
+)
 
 // Upstream is one registered upstream.
 type Upstream struct {
@@ -26,4 +29,9 @@
 	FailureDomain     string `json:"failureDomain"`
 	Region            string `json:"region"`
 	Incarnation       int64  `json:"incarnation"` // start time of its process, Unix nanoseconds
+	// Era is the era of the store in which the host registered. PolicyVersion is the version of
+	// the policy that it had in force then. Both are zero for hosts of earlier builds and if the
+	// store names no eras.
+	Era           kvstore.Era `json:"era,omitempty"`
+	PolicyVersion uint64      `json:"policyVersion,omitempty"`
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -206,7 +206,11 @@
 	if x.route.Open {
 		return nil
 	}
-	if age, ok := x.gateway.keysCurrent(boottime.Now()); !ok {
+	now := boottime.Now()
+	if reason := x.gateway.state.keysOutdated(now); reason != "" {
+		return notRunProblem(problem.TypeNotReady, reason).WithRetryAfter(otherHostRetryAfter)
+	}
+	if age, ok := x.gateway.keysCurrent(now); !ok {
 		return notRunProblem(problem.TypeNotReady, "the keys were last proved current "+age.String()+" ago").WithRetryAfter(otherHostRetryAfter)
 	}
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,6 +96,7 @@
 		Source: changefeed.NewClient(), MaxDelay: o.Settings.PolicyDelay,
 	})
 	g.metrics.showBodyMemory(g.bodies.Free)
+	g.metrics.showPolicyVersions(func() int64 { return int64(g.state.policyVersion()) }, func() int64 { return int64(g.state.versions.newest.Load()) })
 	g.metrics.showShares(g.limits.shares.HeldShares, func() bool { return g.limits.shares.Leased(boottime.Now()) })
 	g.metrics.showStore(o.Store.Eras(), func() time.Duration { return boottime.Now().Sub(g.replica.Proof()) })
 	return g
@@ -123,9 +124,10 @@
 func (g *Gateway) ready() bool { return g.canServe() && !g.shuttingDown.Load() }
 
 // canServe reports whether the host has a policy and has proved once that its keys are
-// current. Without a proof it refuses all requests that need a key.
+// current. Without a proof, and while other hosts may know a newer policy, it refuses all
+// requests that need a key.
 func (g *Gateway) canServe() bool {
-	return g.state.table.Load() != nil && g.replica.Proof() != 0
+	return g.state.table.Load() != nil && g.replica.Proof() != 0 && g.state.keysOutdated(boottime.Now()) == ""
 }
 
 const (
@@ -181,6 +183,11 @@
 		Logger:   g.logger,
 		TTL:      settings.leaseTTL(),
 		Interval: hostLeaseRenewInterval,
+		Complete: func(host *catalog.Host, lease kvstore.LeaseID) {
+			if lease.Era.Named() {
+				host.Era, host.PolicyVersion = lease.Era, uint64(g.state.policyVersion())
+			}
+		},
 		OnLease: func(lease kvstore.LeaseID, validUntil boottime.Instant) {
 			g.state.shares.SetLease(lease, validUntil, boottime.Now())
 		},
@@ -209,11 +216,12 @@
 }
 
 // keysCurrent reports whether the last proof that the keys are current is recent
-// enough for a request to be sent, and returns the age of that proof.
+// enough for a request to be sent, and no newer policy than the one in force may be known to
+// other hosts. It returns the age of that proof.
 func (g *Gateway) keysCurrent(now boottime.Instant) (age time.Duration, ok bool) {
 	proof := g.replica.Proof()
 	age = now.Sub(proof)
-	return age, proof != 0 && age < g.settings.get().KeyAge-keyAgeMargin
+	return age, proof != 0 && age < g.settings.get().KeyAge-keyAgeMargin && g.state.keysOutdated(now) == ""
 }
 
 // Reload replaces the settings. The name, failure domain, region and listen
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,6 +36,13 @@
 	show("store.view.age.ms", func() int64 { return viewAge().Milliseconds() })
 }
 
+// showPolicyVersions adds gauges of the version of the policy in force and of the newest one
+// with which another host registered.
+func (m *requestMetrics) showPolicyVersions(inForce, newest func() int64) {
+	metrics.NewRegisteredFunctionalGauge("policy.version", m.registry, inForce)
+	metrics.NewRegisteredFunctionalGauge("policy.version.newest", m.registry, newest)
+}
+
 // showBodyMemory adds a gauge of the free memory for request bodies, in bytes.
 func (m *requestMetrics) showBodyMemory(free func() int64) {
 	metrics.NewRegisteredFunctionalGauge("body.memory.free.bytes", m.registry, free)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -53,13 +54,18 @@
 	// has lost.
 	restoringUntil atomic.Int64
 
+	versions versionCheck // begin and update are called with mu held
+
 	mu          sync.Mutex // guards the fields below
 	upstreams   *catalog.Set[catalog.Upstream]
 	hostMembers *catalog.Set[catalog.Host]
 	evacuated   map[string]bool // by failure domain
-	loaded      bool            // entries were read
-	era         kvstore.Era     // of the store's entries
-	departures  *catalog.Departures
+	// policyUnread tells that the store's policy can't be decoded, so that its version is not
+	// known here. Hosts of another build may have it in force.
+	policyUnread bool
+	loaded       bool        // entries were read
+	era          kvstore.Era // of the store's entries
+	departures   *catalog.Departures
 	// keptEvacuations holds evacuations that the store has lost, with the instant at which
 	// they end unless they are written again.
 	keptEvacuations map[string]boottime.Instant
@@ -88,6 +94,7 @@
 	s.upstreamNames.Store(&map[uint32]string{})
 	s.upstreamList.Store(&[]catalog.Upstream{})
 	initial := settings.get()
+	s.versions.self, s.versions.logger = initial.Host, logger
 	s.pool = placement.NewPool(placement.Settings{
 		Host:             initial.Host,
 		FailureDomain:    initial.FailureDomain,
@@ -155,6 +162,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
+	s.versions.begin(at.Era, now)
 	newEra := s.loaded && at.Era != s.era
 	if recovered || newEra {
 		s.outageEnded(now)
@@ -241,6 +249,7 @@
 	if len(expired) > 0 {
 		_ = level.Info(s.logger).Log("event", "entries absent after outage", "ids", strings.Join(expired, " "))
 	}
+	s.checkVersions(s.hostMembers.All())
 	if changed || len(expired) > 0 {
 		s.publish()
 	}
@@ -277,6 +286,7 @@
 		return // a deleted policy stays in force until the next one
 	}
 	document, err := s.schema.Policy(entry.Value)
+	s.policyUnread = err != nil
 	if err != nil {
 		_ = level.Error(s.logger).Log("event", "policy rejected", "revision", entry.Revision, "err", err)
 		return
@@ -352,7 +362,9 @@
 	}
 	s.upstreamNames.Store(&names)
 	s.upstreamList.Store(&upstreams)
-	hosts := newestIncarnations(s.hostMembers.All())
+	registered := s.hostMembers.All()
+	s.checkVersions(registered)
+	hosts := newestIncarnations(registered)
 	s.hosts.Store(&hosts)
 	_, regionHosts := s.hostCounts()
 	s.regionHosts.Store(int64(regionHosts))
@@ -368,3 +380,30 @@
 	defer s.mu.Unlock()
 	s.onHosts = f
 }
+
+// policyVersion returns the version of the policy in force, zero if there is none.
+func (s *state) policyVersion() routing.Version {
+	if table := s.table.Load(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+// checkVersions compares the version in force with those of the registered hosts. The caller
+// holds mu.
+func (s *state) checkVersions(registered []catalog.Host) {
+	inForce := s.policyVersion()
+	if s.policyUnread {
+		registered = slices.Clone(registered)
+		for i := range registered {
+			registered[i].PolicyVersion = min(registered[i].PolicyVersion, uint64(inForce))
+		}
+	}
+	s.versions.update(registered, s.era, inForce, s.clock())
+}
+
+// keysOutdated returns why the keys of the policy in force may be revoked although the store
+// has no newer policy, empty if nothing is known.
+func (s *state) keysOutdated(now boottime.Instant) string {
+	return s.versions.outdated(s.policyVersion(), now)
+}
--- a/internal/registration/registration.go
+++ b/internal/registration/registration.go
@@ -25,6 +25,9 @@
 	Logger   log.Logger
 	TTL      time.Duration // of the lease, longer than Interval
 	Interval time.Duration // between renewals; varied by up to 10 %
+	// Complete adds to the entry what is known when the host registers under a lease. nil: not
+	// called.
+	Complete func(host *catalog.Host, lease kvstore.LeaseID)
 	// OnLease is called when the host is registered and after each renewal, with the
 	// lease and the instant until which it is certain to exist, and with zeros before
 	// the lease is revoked. nil: not called.
@@ -87,6 +90,9 @@
 	if err != nil {
 		return kvstore.LeaseID{}, err
 	}
+	if o.Complete != nil {
+		o.Complete(&o.Host, lease)
+	}
 	value, err := json.Marshal(o.Host)
 	if err != nil {
 		return kvstore.LeaseID{}, err
