crashguard: requests beyond 32 records of an account share records

Beyond 32 records of an account those with the fewest crashes were deleted, so that further requests never kept their crashes or pushed out others.

Further requests of an account now share 128 records, by fingerprint, under the same rules. Hosts remember requests that got a complete response, which shared records don't apply to. Memory and the number of crashes are bounded by 160 records of an account.

--- a/internal/crashguard/process.go
+++ b/internal/crashguard/process.go
@@ -13,4 +13,5 @@
 	Request string `json:"request"`         // ID of the attempt of the caller
 	Host    string `json:"host"`            // entry host that sent it
 	Trial   bool   `json:"trial,omitempty"` // the request was sent as a trial
+	Tag     string `json:"tag,omitempty"`   // in a shared record: identifies the request
 }
--- a/internal/crashguard/table.go
+++ b/internal/crashguard/table.go
@@ -42,8 +42,10 @@
 	// surplusAge is the age from which a record beyond the number for its account is
 	// deleted, before the delay of the host.
 	surplusAge = time.Second
-	// maxPerAccount limits the records of one client account. Beyond it the records with
-	// the fewest crashes are deleted, oldest first.
+	// maxPerAccount limits the records of one client account. Further requests share a fixed
+	// number of records, see sharedRecords. Hosts that add records at the same time may exceed
+	// it; then those with less than suspectCrashes are deleted, oldest first, and beyond twice
+	// the number any.
 	maxPerAccount = 32
 	// newEraHold is the time from a change of the era of the store in which no trial is made:
 	// what other hosts wrote in the era before is written again meanwhile.
@@ -96,7 +98,8 @@
 	loaded      bool             // records of the store were read
 	era         kvstore.Era      // of the records of the store
 	eraSeen     boottime.Instant // when this process saw it follow another one, zero if it has not
-	omitted     int              // crashes not recorded because the account has too many records
+	inShared    int              // crashes recorded in shared records
+	harmless    harmless
 }
 
 // NewTable returns the empty table of a host.
@@ -111,12 +114,12 @@
 	return len(t.records) == 0
 }
 
-// Len returns the number of requests about which something is known, and the number of
-// crashes that were not recorded because their account had too many records.
-func (t *Table) Len() (records, omitted int) {
+// Len returns the number of records, and the number of crashes that were recorded in shared
+// ones because their account had too many records.
+func (t *Table) Len() (records, inShared int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.records), t.omitted
+	return len(t.records), t.inShared
 }
 
 // unexplained returns the known crashes of a request without those that a guilty request
@@ -203,20 +206,22 @@
 
 // Crashed records that an upstream crashed while it ran a request of a client account.
 // retried tells that the request is being sent to another upstream; Settled or Answered
-// follows. It returns false if the account has too many records.
+// follows. It returns false if the crash is recorded in a shared record.
 func (t *Table) Crashed(f Fingerprint, account string, crash Crash, retried bool, now boottime.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[f]
+	digest := accountDigest(account)
+	subject := t.subject(f, digest)
+	t.harmless.remove(f)
+	r := t.records[subject]
 	if r == nil {
-		digest := accountDigest(account)
-		if t.perAccount[digest] >= 2*maxPerAccount {
-			t.omitted++
-			return false
-		}
-		r = t.add(f, digest)
+		r = t.add(subject, digest)
+	}
+	crash.Request, crash.Host, crash.Tag = truncate(crash.Request), truncate(t.host), ""
+	if subject.shared() {
+		t.inShared++
+		crash.Tag = f.tag()
 	}
-	crash.Request, crash.Host = truncate(crash.Request), truncate(t.host)
 	found := foundCrash{Crash: crash, at: now, due: now}
 	if retried {
 		found.due = now.Add(retryHold)
@@ -224,7 +229,7 @@
 	if !lists(r.crashes(), crash) {
 		r.found = append(r.found, found)
 	}
-	return true
+	return !subject.shared()
 }
 
 func truncate(text string) string { return text[:min(len(text), maxFieldBytes)] }
@@ -233,7 +238,9 @@
 func (t *Table) add(f Fingerprint, account string) *record {
 	r := &record{account: account}
 	t.records[f] = r
-	t.perAccount[account]++
+	if !f.shared() {
+		t.perAccount[account]++
+	}
 	return r
 }
 
@@ -244,37 +251,60 @@
 		return
 	}
 	delete(t.records, f)
+	if f.shared() {
+		return
+	}
 	if t.perAccount[r.account]--; t.perAccount[r.account] == 0 {
 		delete(t.perAccount, r.account)
 	}
 }
 
-// Settled records that a request is not sent to further upstreams, so that its crashes are
-// written at once.
-func (t *Table) Settled(f Fingerprint, now boottime.Instant) {
+// Settled records that a request of an account is not sent to further upstreams, so that its
+// crashes are written at once.
+func (t *Table) Settled(f Fingerprint, account string, now boottime.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.records[f]; r != nil {
-		for i := range r.found {
-			r.found[i].due = min(r.found[i].due, now)
+	for _, subject := range []Fingerprint{f, sharedFingerprint(accountDigest(account), f)} {
+		if r := t.records[subject]; r != nil {
+			for i := range r.found {
+				if !subject.shared() || r.found[i].Tag == f.tag() {
+					r.found[i].due = min(r.found[i].due, now)
+				}
+			}
 		}
 	}
 }
 
-// Answered records that an upstream sent a complete response to a request, which shows that
-// the known crashes had other causes.
-func (t *Table) Answered(f Fingerprint) {
+// Answered records that an upstream sent a complete response to a request of an account, which
+// shows that the crashes known for it had other causes. In a shared record the crashes of other
+// requests stay.
+func (t *Table) Answered(f Fingerprint, account string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.harmless.add(f)
+	t.refute(f, func(Crash) bool { return true })
+	if shared := sharedFingerprint(accountDigest(account), f); t.records[shared] != nil {
+		t.refute(shared, func(c Crash) bool { return c.Tag == f.tag() })
+	}
+}
+
+// refute removes crashes from a record. The caller holds mu.
+func (t *Table) refute(f Fingerprint, refuted func(Crash) bool) {
 	r := t.records[f]
 	if r == nil {
 		return
 	}
-	r.found, r.refuted, r.lost = nil, nil, Entry{}
+	r.found = slices.DeleteFunc(r.found, func(c foundCrash) bool { return refuted(c.Crash) })
+	r.lost.Crashes = slices.DeleteFunc(slices.Clone(r.lost.Crashes), refuted)
+	if len(r.lost.Crashes) == 0 {
+		r.lost = Entry{}
+	}
 	for _, crash := range r.stored.Crashes {
-		r.refuted = append(r.refuted, crash.Process)
+		if refuted(crash) && !slices.Contains(r.refuted, crash.Process) {
+			r.refuted = append(r.refuted, crash.Process)
+		}
 	}
-	if r.revision.IsZero() {
+	if r.empty() && !r.claiming {
 		t.remove(f)
 	}
 }
--- a/internal/crashguard/writes.go
+++ b/internal/crashguard/writes.go
@@ -78,7 +78,7 @@
 		if now.Sub(r.readAt) > r.stored.trialDelay()+forgetTime+delay {
 			over[f] = true
 		}
-		if t.perAccount[r.account] > maxPerAccount {
+		if n := t.perAccount[r.account]; !f.shared() && (n > 2*maxPerAccount || n > maxPerAccount && len(r.stored.Crashes) < suspectCrashes) {
 			surplus[r.account] = append(surplus[r.account], f)
 		}
 	}
--- a/internal/gateway/crash_guard.go
+++ b/internal/gateway/crash_guard.go
@@ -47,6 +47,11 @@
 	return x.crash.identity
 }
 
+// crashSubject returns the fingerprint of the crash record that decides about the request.
+func (x *exchange) crashSubject() crashguard.Fingerprint {
+	return x.gateway.state.crashes.Subject(x.fingerprint(), x.accountName())
+}
+
 // accountName returns the name of the client account, empty if there is none.
 func (x *exchange) accountName() string {
 	if x.account == nil {
@@ -63,7 +68,7 @@
 	if table.Empty() {
 		return nil
 	}
-	decision := table.Admit(x.fingerprint(), boottime.Now())
+	decision := table.Admit(x.crashSubject(), boottime.Now())
 	x.crash.suspected = x.crash.suspected || len(decision.Crashes) > 0 && x.crash.progress == nil
 	switch decision.Verdict {
 	case crashguard.Refused:
@@ -89,7 +94,7 @@
 // at the same time. It returns the problem to respond with if that fails.
 func (x *exchange) claimTrial(ctx context.Context) *problem.Problem {
 	table := x.gateway.state.crashes
-	if write, ok := table.Claim(x.fingerprint(), boottime.Now()); ok {
+	if write, ok := table.Claim(x.crashSubject(), boottime.Now()); ok {
 		call, cancel := context.WithTimeout(ctx, claimTimeout)
 		err := x.gateway.writeCrashRecord(call, write)
 		cancel()
@@ -98,7 +103,7 @@
 			return nil
 		}
 	}
-	decision := table.Admit(x.fingerprint(), boottime.Now())
+	decision := table.Admit(x.crashSubject(), boottime.Now())
 	if decision.RetryAfter == 0 {
 		decision.RetryAfter = otherHostRetryAfter
 	}
@@ -129,7 +134,7 @@
 		x.crash.progress.answered.Store(true)
 	}
 	if table := x.gateway.state.crashes; !table.Empty() {
-		table.Answered(x.fingerprint())
+		table.Answered(x.fingerprint(), x.accountName())
 	}
 }
 
@@ -137,7 +142,7 @@
 func (x *exchange) settled() {
 	if x.crash.progress != nil {
 		x.crash.progress.settled.Store(true)
-		x.gateway.state.crashes.Settled(x.fingerprint(), boottime.Now())
+		x.gateway.state.crashes.Settled(x.fingerprint(), x.accountName(), boottime.Now())
 	}
 }
 
@@ -149,7 +154,7 @@
 		if verdict == verdictCrashed && !request.progress.answered.Load() {
 			crash := crashguard.Crash{Process: crashguard.Process{Upstream: upstream.ID, Incarnation: upstream.Incarnation}, Request: request.id, Trial: request.trial}
 			if !g.state.crashes.Crashed(request.fingerprint, request.account, crash, !request.progress.settled.Load(), boottime.Now()) {
-				g.metrics.countFatalRequest("omitted")
+				g.metrics.countFatalRequest("shared")
 			}
 		}
 		if g.logLimiter.allow(false) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -138,7 +138,7 @@
 }
 
 // countFatalRequest counts a request under which upstreams have crashed: refused, sent as a
-// trial, or omitted from the records because its client account has too many.
+// trial, or recorded in a shared record because its client account has too many.
 func (m *requestMetrics) countFatalRequest(what string) {
 	metrics.GetOrRegisterCounter("fatal.request."+what, m.registry).Inc(1)
 }
