gateway: bound heads, idle connections and descriptors of callers

What callers saw: heads over the limit or without end filled the memory of a host until it ended. Silent, slow and idle connections used up its descriptors.

Cause: the listeners had constants of net/http (1 MiB of headers, 30 s, 90 s) and no bound on the sum of all connections. Of the policy's limits only the size of bodies was decoded, and of the settings' limits only the memory.

Change: max_header_bytes, header_timeout, idle_timeout and max_fds are decoded. internal/hostbudget decides about memory and connections; internal/callerconn counts the bytes and lines of heads on the connections below net/http, refuses with 431, 408 or 503 while no response is in progress, and closes what is idle or not read. A new policy takes effect on open connections. When connections run out, the one that is idle for longest is closed, else the oldest slow head is refused; the others wait in the kernel.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,9 +10,11 @@
 	"github.com/rcrowley/go-metrics"
 
 	"peridotrail/internal/boottime"
+	"peridotrail/internal/callerconn"
 	"peridotrail/internal/catalog"
 	"peridotrail/internal/changefeed"
 	"peridotrail/internal/entry/forward"
+	"peridotrail/internal/hostbudget"
 	"peridotrail/internal/kvstore"
 	"peridotrail/internal/linkhealth"
 	"peridotrail/internal/registration"
@@ -56,6 +58,8 @@
 	logLimiter *logLimiter
 	links      *linkhealth.Tracker
 	crashes    *crashProber
+	budget     *hostbudget.Budget // memory and connections of callers
+	guard      *callerconn.Guard
 	bodies     *forward.PayloadBudget // memory for request bodies
 	dial       forward.DialFunc
 	relays     *relays // nil if the host neither relays requests nor sends them for others; set before requests are served
@@ -80,8 +84,10 @@
 		links:      linkhealth.NewTracker(),
 		dial:       o.DialUpstream,
 		started:    time.Now().UnixNano(),
-		bodies:     forward.NewPayloadBudget(o.Settings.bodyMemory()),
+		budget:     hostbudget.New(o.Settings.callerLimits()),
 	}
+	g.bodies = forward.NewPayloadBudget(o.Settings.bodyMemory())
+	g.guard = callerconn.NewGuard(callerconn.Options{Budget: g.budget, Bounds: g.callerBounds, Logger: o.Logger, Metrics: o.Metrics, Clock: boottime.Now})
 	g.state = newState(settings, o.Schema, o.Logger, g.limits, boottime.Now, func() boottime.Instant { return g.replica.Proof() })
 	if g.dial == nil {
 		g.dial = forward.NewDialer(upstreamDialTimeout, upstreamSilenceTimeout).DialContext
@@ -223,6 +229,7 @@
 	if g.settings.replace(settings) {
 		_ = level.Warn(g.logger).Log("event", "settings need a restart", "detail", "name, place or listeners differ")
 	}
+	g.budget.SetLimits(settings.callerLimits())
 	g.state.republish()
 	_ = level.Info(g.logger).Log("event", "settings reloaded")
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -14,6 +14,7 @@
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
 	"peridotrail/internal/changefeed"
+	"peridotrail/internal/hostbudget"
 	"peridotrail/internal/lending"
 	"peridotrail/internal/loadreport"
 	"peridotrail/internal/observe"
@@ -27,13 +28,6 @@
 	// shutdownEndFraction is the fraction of the grace period after which requests
 	// still in progress are abandoned and the process ends.
 	shutdownEndFraction = 0.95
-	// headerTimeout limits how long a caller may take to send the request headers.
-	headerTimeout = 30 * time.Second
-	// idleTimeout is longer than callers keep idle connections open, so that callers
-	// close them first.
-	idleTimeout = 90 * time.Second
-	// maxHeaderBytes limits the size of the request headers.
-	maxHeaderBytes = 1 << 20
 )
 
 // Run serves until ctx ends, then shuts down gracefully within the grace period. It
@@ -84,6 +78,7 @@
 	if g.relays != nil {
 		tasks.Go(func() { g.relays.run(taskCtx) })
 	}
+	tasks.Go(func() { g.guard.Run(taskCtx) })
 	tasks.Go(func() { g.probeLinks(taskCtx) })
 	tasks.Go(func() { g.logLimiter.run(taskCtx) })
 	tasks.Go(func() { g.recordCrashes(taskCtx) })
@@ -150,17 +145,18 @@
 	type endpoint struct {
 		address string
 		handler http.Handler
+		class   hostbudget.Class
 	}
 	endpoints := []endpoint{
-		{settings.ListenCallers, http.HandlerFunc(g.serveRequest)},
-		{settings.ListenReady, http.HandlerFunc(g.serveReadiness)},
-		{settings.ListenLookups, http.HandlerFunc(g.serveLookup)},
+		{settings.ListenCallers, http.HandlerFunc(g.serveRequest), hostbudget.Callers},
+		{settings.ListenReady, http.HandlerFunc(g.serveReadiness), hostbudget.Internal},
+		{settings.ListenLookups, http.HandlerFunc(g.serveLookup), hostbudget.Internal},
 	}
 	if settings.MetricsPort != 0 {
-		endpoints = append(endpoints, endpoint{withPort(settings.ListenCallers, settings.MetricsPort), observe.TextHandler(metricsPrefix, g.metrics.registry)})
+		endpoints = append(endpoints, endpoint{withPort(settings.ListenCallers, settings.MetricsPort), observe.TextHandler(metricsPrefix, g.metrics.registry), hostbudget.Internal})
 	}
 	if settings.ListenPeers != "" {
-		endpoints = append(endpoints, endpoint{settings.ListenPeers, changefeed.Handler(g.replica, g.logger)})
+		endpoints = append(endpoints, endpoint{settings.ListenPeers, changefeed.Handler(g.replica, g.logger), hostbudget.Internal})
 	}
 	var servers []*http.Server
 	for _, each := range endpoints {
@@ -169,12 +165,11 @@
 			return nil, err
 		}
 		server := &http.Server{
-			Addr:              each.address,
-			Handler:           each.handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
+			Addr:           each.address,
+			Handler:        each.handler,
+			MaxHeaderBytes: maxHeaderBytes,
 		}
+		listener = g.guard.Serve(server, listener, each.class, http.HandlerFunc(g.refuseForMemory))
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -22,7 +22,8 @@
 
 	MetricsPort uint16 // port of /metrics on the IP of ListenCallers; zero: none
 
-	MemoryLimit int64 // bytes; zero: no limit
+	MemoryLimit    int64 // bytes; zero: hostbudget.DefaultMemory
+	MaxDescriptors int   // zero: hostbudget.DefaultDescriptors
 
 	Grace        time.Duration // from SIGTERM until the process must have ended
 	PolicyDelay  time.Duration // from the acceptance of a policy until all hosts must apply it
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -70,5 +70,8 @@
 
 // Limits bound the requests of callers. Zero means the host's default.
 type Limits struct {
-	BodyBytes int64
+	BodyBytes     int64
+	HeaderBytes   int64
+	HeaderTimeout time.Duration // from the first byte of a head to its end
+	IdleTimeout   time.Duration // of a connection without a request
 }
