--- a/internal/entry/forward/payload.go
+++ b/internal/entry/forward/payload.go
@@ -21,11 +21,21 @@
 
 // PayloadBudget is the memory that all bodies of a host may take beyond their first buffers.
 // It is safe for concurrent use. A nil budget has no memory.
-type PayloadBudget struct{ free atomic.Int64 }
+type PayloadBudget struct {
+	free   atomic.Int64
+	memory Memory // nil if it is no part of another budget
+}
+
+// Memory is a budget of which the bodies take a part. It is safe for concurrent use.
+type Memory interface {
+	Take(bytes int64) bool // takes nothing and returns false if there is no room
+	Give(bytes int64)
+}
 
-// NewPayloadBudget returns a budget of the given number of bytes.
-func NewPayloadBudget(bytes int64) *PayloadBudget {
-	b := &PayloadBudget{}
+// NewPayloadBudget returns a budget of at most the given number of bytes, which are taken from
+// memory, if it is not nil, while they are used.
+func NewPayloadBudget(bytes int64, memory Memory) *PayloadBudget {
+	b := &PayloadBudget{memory: memory}
 	b.free.Store(bytes)
 	return b
 }
@@ -36,7 +46,7 @@
 		return n == 0
 	}
 	bytes := int64(n) * PayloadBufferBytes
-	if b.free.Add(-bytes) >= 0 {
+	if b.free.Add(-bytes) >= 0 && (b.memory == nil || b.memory.Take(bytes)) {
 		return true
 	}
 	b.free.Add(bytes)
@@ -44,8 +54,12 @@
 }
 
 func (b *PayloadBudget) give(n int) {
-	if b != nil {
-		b.free.Add(int64(n) * PayloadBufferBytes)
+	if b == nil {
+		return
+	}
+	b.free.Add(int64(n) * PayloadBufferBytes)
+	if b.memory != nil {
+		b.memory.Give(int64(n) * PayloadBufferBytes)
 	}
 }
 
--- a/internal/entry/forward/payload_test.go
+++ b/internal/entry/forward/payload_test.go
@@ -19,7 +19,7 @@
 				if known {
 					length = int64(size)
 				}
-				budget := NewPayloadBudget(memory)
+				budget := NewPayloadBudget(memory, nil)
 				p, err := ReadPayload(bytes.NewReader(body), length, budget)
 				require.NoError(t, err)
 				fits := size < buffer || size < min(MaxKeptBytes, buffer+int(memory))
--- a/internal/entry/forward/transport.go
+++ b/internal/entry/forward/transport.go
@@ -19,9 +19,11 @@
 
 const (
 	idleConnectionTimeout = 90 * time.Second
-	maxResponseHeadBytes  = 1 << 20
-	readBufferBytes       = 8 << 10
-	writeBufferBytes      = 8 << 10
+	// maxResponseHeadBytes is four times the policy's usual limit on heads of requests. A
+	// response with a longer head has failed.
+	maxResponseHeadBytes = 64 << 10
+	readBufferBytes      = 8 << 10
+	writeBufferBytes     = 8 << 10
 )
 
 // Transport sends requests to one upstream over a limited number of HTTP/1.1
--- a/internal/gateway/caller_limits.go
+++ b/internal/gateway/caller_limits.go
@@ -19,6 +19,8 @@
 	// memoryRetryAfter is the Retry-After value for requests for which there is no memory.
 	// Slow readers are cut off within seconds, and other hosts may have memory at once.
 	memoryRetryAfter = 500 * time.Millisecond
+	// minBufferedBody is what a response may buffer however little memory is free, in bytes.
+	minBufferedBody = 32 << 10
 )
 
 // callerLimits returns the memory and the connections that callers may take.
@@ -55,3 +57,24 @@
 	w.Header().Set("Connection", "close") // the rest of the request is not read
 	p.Write(w)
 }
+
+// readResponse reads the body of a response as far as there is memory for it, which is taken
+// until the exchange ends.
+func (x *exchange) readResponse(response *http.Response) (attemptOutcome, error) {
+	wanted := int64(maxBufferedBody)
+	if response.ContentLength >= 0 {
+		wanted = min(wanted, response.ContentLength)
+	}
+	taken := x.gateway.budget.TakePart(wanted, minBufferedBody)
+	outcome, err := readResponse(response, taken)
+	used := min(taken, int64(cap(outcome.body)))
+	x.gateway.budget.Give(taken - used)
+	x.responseMemory += used
+	return outcome, err
+}
+
+// releaseResponseMemory gives the memory of the responses of the exchange back.
+func (x *exchange) releaseResponseMemory() {
+	x.gateway.budget.Give(x.responseMemory)
+	x.responseMemory = 0
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -40,6 +40,7 @@
 	arrived         bool   // an upstream may have received the request
 	mayHaveRun      bool   // an upstream may have run the request
 	responseStarted bool   // part of a response may have been sent
+	responseMemory  int64  // bytes taken for buffered responses
 	lastResult      string // result of the last attempt, for the log
 
 	crash crashPhase
@@ -66,6 +67,7 @@
 			x.handlePanic(w, reason)
 		}
 	}()
+	defer x.releaseResponseMemory()
 	rejection := x.prepare(w)
 	if x.payload != nil {
 		defer x.payload.Release()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,7 +60,7 @@
 	crashes    *crashProber
 	budget     *hostbudget.Budget // memory and connections of callers
 	guard      *callerconn.Guard
-	bodies     *forward.PayloadBudget // memory for request bodies
+	bodies     *forward.PayloadBudget // memory for request bodies, part of budget
 	dial       forward.DialFunc
 	relays     *relays // nil if the host neither relays requests nor sends them for others; set before requests are served
 	started    int64   // incarnation of this process
@@ -86,7 +86,7 @@
 		started:    time.Now().UnixNano(),
 		budget:     hostbudget.New(o.Settings.callerLimits()),
 	}
-	g.bodies = forward.NewPayloadBudget(o.Settings.bodyMemory())
+	g.bodies = forward.NewPayloadBudget(o.Settings.bodyMemory(), g.budget)
 	g.guard = callerconn.NewGuard(callerconn.Options{Budget: g.budget, Bounds: g.callerBounds, Logger: o.Logger, Metrics: o.Metrics, Clock: boottime.Now})
 	g.state = newState(settings, o.Schema, o.Logger, g.limits, boottime.Now, func() boottime.Instant { return g.replica.Proof() })
 	if g.dial == nil {
--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -106,7 +106,7 @@
 		_ = response.Body.Close() // it is not used
 		return attemptOutcome{result: resultUnknown}, true, "a success without the signature of an upstream"
 	}
-	outcome, err = readResponse(response)
+	outcome, err = x.readResponse(response)
 	switch {
 	case err == nil:
 		return outcome, false, ""
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -84,7 +84,7 @@
 	if reply.NotRun || reply.Moved {
 		return x.finishNotRun(placed, response, reply)
 	}
-	a, err := readResponse(response)
+	a, err := x.readResponse(response)
 	if err != nil {
 		return x.finishFailed(ctx, placed, err)
 	}
@@ -227,20 +227,20 @@
 	}
 }
 
-// readResponse reads the body of a response, up to maxBufferedBody bytes. The caller
-// closes the remainder of a longer body.
-func readResponse(response *http.Response) (attemptOutcome, error) {
+// readResponse reads the body of a response, up to limit bytes. The caller closes the
+// remainder of a longer body.
+func readResponse(response *http.Response, limit int64) (attemptOutcome, error) {
 	var buffer bytes.Buffer
-	if response.ContentLength > 0 && response.ContentLength <= maxBufferedBody {
-		buffer.Grow(int(response.ContentLength) + bytes.MinRead)
+	if response.ContentLength > 0 {
+		buffer.Grow(int(min(response.ContentLength, limit)) + bytes.MinRead)
 	}
-	n, err := io.Copy(&buffer, io.LimitReader(response.Body, maxBufferedBody))
+	n, err := io.Copy(&buffer, io.LimitReader(response.Body, limit))
 	if err != nil {
 		forward.Discard(response)
 		return attemptOutcome{}, err
 	}
 	a := attemptOutcome{result: resultAnswered, response: response, body: buffer.Bytes()}
-	if n == maxBufferedBody {
+	if n == limit && (n == maxBufferedBody || n != response.ContentLength) {
 		a.remainder = response.Body
 		return a, nil
 	}
