--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -149,6 +149,9 @@
 	deadline time.Time  // for reads, as the server has set it
 }
 
+// NetConn returns the connection below.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
 // closeIfWaiting ends the read of a connection that waits for a request, which then closes the
 // connection if no request has arrived.
 func (c *trackedConn) closeIfWaiting() {
