quota: callers over the rate of their account return one after another

Callers refused for the rate (429) all got about the same Retry-After, the wait for the next token, and in a burst above the rate most were refused again.

Each now gets the time of another token that will accrue at the host. Where that is later than a third of the caller's remaining time, which is as long as callers wait, it gets the estimated wait as before. Bucket.Take no longer returns a wait, since a request calls it several times; its callers in tests follow.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -466,7 +466,7 @@
 	if x.account == nil || x.chargedAccount != "" || x.relayedBy != "" {
 		return nil // the host from which a relayed request comes has charged the account
 	}
-	ok, wait := x.gateway.limits.takeToken(x.request.Context(), x.account.Name)
+	ok, wait := x.gateway.limits.takeToken(x.request.Context(), x.account.Name, longestReturn(x.deadline, boottime.Now()))
 	if !ok {
 		return notRunProblem(problem.TypeRateExceeded, "client account "+x.account.Name).WithRetryAfter(wait)
 	}
@@ -474,6 +474,10 @@
 	return nil
 }
 
+// longestReturn returns how long a caller with the given deadline waits before it returns: callers
+// honour a Retry-After up to a third of their remaining time.
+func longestReturn(deadline, now boottime.Instant) time.Duration { return deadline.Sub(now) / 3 }
+
 // refundToken returns the token of a request that was not sent to any upstream.
 func (x *exchange) refundToken() {
 	if x.chargedAccount != "" && x.attempts == 0 {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -186,8 +186,9 @@
 // takeToken takes one token of a client account. If this host has none left, it
 // asks other hosts, and waits up to maxTokenWait for their reply or for the next
 // token of its own bucket. If neither is expected in that time it fails at once. On
-// failure it returns the time after which the caller may retry.
-func (l *limits) takeToken(ctx context.Context, account string) (bool, time.Duration) {
+// failure it returns the time after which the caller may retry, who waits for as long as
+// longest.
+func (l *limits) takeToken(ctx context.Context, account string, longest time.Duration) (bool, time.Duration) {
 	hash := accountHash(account)
 	deadline := l.clock().Add(maxTokenWait)
 	for first := true; ; first = false {
@@ -196,14 +197,30 @@
 		if attempt.untilNextToken > 0 && attempt.untilNextToken < remaining {
 			remaining = max(attempt.untilNextToken, minTokenWait)
 		} else if attempt.replied == nil {
-			return attempt.ok, attempt.retryAfter
+			return attempt.ok, l.returnAfter(hash, attempt.ok, longest)
 		}
 		if attempt.ok || remaining <= 0 || !awaitReply(ctx, attempt.replied, remaining) {
-			return attempt.ok, attempt.retryAfter
+			return attempt.ok, l.returnAfter(hash, attempt.ok, longest)
 		}
 	}
 }
 
+// returnAfter returns the time after which the caller of a request that got no token may return;
+// zero if it got one.
+func (l *limits) returnAfter(hash uint64, ok bool, longest time.Duration) time.Duration {
+	if ok {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	bucket := l.bucket(hash, now)
+	if bucket == nil {
+		return 0 // the rate is not limited any more
+	}
+	return bucket.ReturnAfter(longest, now)
+}
+
 // awaitReply waits until replied is closed or the timeout has passed. It returns
 // false if ctx ended first.
 func awaitReply(ctx context.Context, replied <-chan struct{}, timeout time.Duration) bool {
@@ -221,7 +238,6 @@
 // tokenAttempt is the result of one attempt to take a token.
 type tokenAttempt struct {
 	ok             bool
-	retryAfter     time.Duration   // time after which the caller may retry
 	untilNextToken time.Duration   // until this host's own bucket has a token, zero if unknown
 	replied        <-chan struct{} // closed when another host replies, nil if no reply is expected
 }
@@ -240,7 +256,7 @@
 		bucket.RecordDemand(now)
 	}
 	var attempt tokenAttempt
-	attempt.ok, attempt.retryAfter = bucket.Take(now)
+	attempt.ok = bucket.Take(now)
 	if !attempt.ok {
 		attempt.untilNextToken = bucket.OwnTokenDelay(now)
 	}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -41,7 +41,7 @@
 	l := singleHostLimits(t, 50)
 	began := time.Now()
 	for range 10 {
-		ok, _ := l.takeToken(t.Context(), "clinic")
+		ok, _ := l.takeToken(t.Context(), "clinic", time.Second)
 		require.True(t, ok)
 	}
 	require.GreaterOrEqual(t, time.Since(began), 180*time.Millisecond, "ten tokens at 50 a second")
@@ -50,7 +50,7 @@
 func TestRequestWithDistantTokenIsRejectedAtOnce(t *testing.T) {
 	l := singleHostLimits(t, 2)
 	began := time.Now()
-	ok, wait := l.takeToken(t.Context(), "clinic")
+	ok, wait := l.takeToken(t.Context(), "clinic", time.Second)
 	require.False(t, ok)
 	require.Greater(t, wait, maxTokenWait)
 	require.Less(t, time.Since(began), maxTokenWait/2)
@@ -63,7 +63,7 @@
 	const span = 500 * time.Millisecond
 	admitted := 0
 	for began := time.Now(); time.Since(began) < span; {
-		if ok, _ := l.takeToken(t.Context(), "clinic"); ok {
+		if ok, _ := l.takeToken(t.Context(), "clinic", time.Second); ok {
 			admitted++
 		}
 	}
@@ -77,7 +77,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	began := time.Now()
-	ok, _ := l.takeToken(ctx, "clinic")
+	ok, _ := l.takeToken(ctx, "clinic", time.Second)
 	require.False(t, ok)
 	require.Less(t, time.Since(began), maxTokenWait/2)
 }
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -28,6 +28,9 @@
 	// minRetryAfter is the shortest wait that callers are advised of, so that they
 	// don't retry before tokens can have accrued.
 	minRetryAfter = 100 * time.Millisecond
+	// unknownRateWait is the wait where the rate is not known yet; hosts know it within a second
+	// of their start.
+	unknownRateWait = time.Second
 	// demandTimeConstant is the time constant of the exponential average of a bucket's
 	// demand.
 	demandTimeConstant = 700 * time.Millisecond
@@ -52,6 +55,8 @@
 
 	demand     float64 // requests per second, an exponential average
 	regionRate float64 // rate of all hosts of the region, in tokens per second
+
+	nextReturn boottime.Instant // earliest return of the next refused caller
 }
 
 // SetLimit sets the host's share: rate in tokens per second and burst in tokens. A
@@ -107,20 +112,35 @@
 	b.demand += 1 / demandTimeConstant.Seconds()
 }
 
-// Take spends one token, a borrowed one first. If there is none, it returns the time
-// after which the caller may retry: the estimated wait, at least minRetryAfter.
-func (b *Bucket) Take(now boottime.Instant) (ok bool, wait time.Duration) {
+// Take spends one token, a borrowed one first. It reports whether there was one.
+func (b *Bucket) Take(now boottime.Instant) bool {
 	b.refill(now)
 	if b.borrowed >= 1 {
 		b.borrowed--
-		return true, 0
+		return true
 	}
 	if b.own() >= 1 {
 		invariant.Check(b.tokens <= b.burst, invariant.RateWithinLimit, "%v tokens of a burst of %v", b.tokens, b.burst)
 		b.tokens--
-		return true, 0
+		return true
+	}
+	return false
+}
+
+// ReturnAfter returns the time after which the caller of a refused request may return, at least
+// minRetryAfter. Each refused caller gets the time of another token that will accrue, so that they
+// don't return together. One for whom that is later than longest, which is as long as it would
+// wait, gets the estimated wait instead. ReturnAfter is called once for each refused request.
+func (b *Bucket) ReturnAfter(longest time.Duration, now boottime.Instant) time.Duration {
+	b.refill(now)
+	wait := max(minRetryAfter, b.estimatedWait())
+	at := max(now.Add(wait), b.nextReturn)
+	rate := b.expectedRate()
+	if rate <= 0 || at.Sub(now) > longest {
+		return wait
 	}
-	return false, max(minRetryAfter, b.estimatedWait())
+	b.nextReturn = at.Add(time.Duration(float64(time.Second) / rate))
+	return at.Sub(now)
 }
 
 // OwnTokenDelay returns the estimated time until a new request gets a token of this
@@ -135,19 +155,24 @@
 
 // estimatedWait returns the time until the next token accrues, multiplied by the
 // ratio of demand to rate if that is above 1, because other requests compete for the
-// token. A host without a share uses the rate of its region. The wait is one second
-// if that rate is unknown.
+// token. The wait is unknownRateWait if the rate is unknown.
 func (b *Bucket) estimatedWait() time.Duration {
-	rate := b.rate
+	rate := b.expectedRate()
 	if rate <= 0 {
-		rate = b.regionRate
-	}
-	if rate <= 0 {
-		return time.Second
+		return unknownRateWait
 	}
 	return time.Duration((1 - b.tokens) / rate * max(1, b.demand/rate) * float64(time.Second))
 }
 
+// expectedRate returns the rate at which tokens are expected. A host without a share uses that of
+// its region.
+func (b *Bucket) expectedRate() float64 {
+	if b.rate > 0 {
+		return b.rate
+	}
+	return b.regionRate
+}
+
 // Rate returns this host's share of the rate, in tokens per second.
 func (b *Bucket) Rate() float64 { return b.rate }
 
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -58,7 +58,7 @@
 
 func (f *fleetModel) request(host int) {
 	f.hosts[host].RecordDemand(f.now)
-	if ok, _ := f.hosts[host].Take(f.now); ok {
+	if f.hosts[host].Take(f.now) {
 		f.admitted = append(f.admitted, admission{f.now})
 	}
 }
@@ -161,7 +161,7 @@
 	b.SetLimit(0.001, 1, now)
 	b.Borrow(5, now)
 	now = now.Add(BorrowedTokenTTL + time.Millisecond)
-	ok, _ := b.Take(now)
+	ok := b.Take(now)
 	require.False(t, ok)
 }
 
