leasedshare: an era counts as settled once the leases before it have ended

A host that started waited for the longest window of any limit in each era of the store that had been seen for less than 13.5 s. The wait for the window is now each limit's own, so an era is settled after 3.5 s.

--- a/internal/leasedshare/era.go
+++ b/internal/leasedshare/era.go
@@ -13,34 +13,35 @@
 // tell whether the era has just begun, and would use no shares for the time of a lease.
 const settledKey = "shares-settled"
 
-// settled reports whether no process uses a share under a lease of an earlier era, for a
-// limit that counts over window. The caller holds mu.
+// settled reports whether no process has used a share under a lease of an earlier era within
+// window. The caller holds mu.
 func (h *Holder) settled(now boottime.Instant, window time.Duration) bool {
-	return !h.era.Named() || h.settledEra == h.era || now.Sub(h.eraSeen) >= h.options.LeaseTTL+window+MaxSendDelay
+	return !h.era.Named() || h.settledEra == h.era && now.Sub(h.settledSeen) >= window ||
+		now.Sub(h.eraSeen) >= h.options.LeaseTTL+window+MaxSendDelay
 }
 
 // readSettled reads the entry of settledKey; other entries are ignored. The caller holds mu.
-func (h *Holder) readSettled(entry kvstore.Entry) {
+func (h *Holder) readSettled(entry kvstore.Entry, now boottime.Instant) {
 	if entry.Key != settledKey {
 		return
 	}
+	before := h.settledEra
 	h.settledEra, h.settledAt = 0, entry.Revision
 	if number, err := strconv.ParseUint(string(entry.Value), 10, 64); err == nil && entry.Exists() {
 		h.settledEra, _ = kvstore.NewEra(number)
 	}
+	if h.settledEra != before {
+		h.settledSeen = now
+	}
 }
 
-// settle adds the write of settledKey to a transaction that writes nothing else, once this
-// process has seen the era for long enough for the longest window of any limit. The caller
-// holds mu.
+// settle adds the write of settledKey to a transaction that writes nothing else, once the leases
+// of earlier eras have ended. The caller holds mu.
 func (h *Holder) settle(t *Transaction, now boottime.Instant) {
 	if !h.era.Named() || h.settledEra == h.era || len(t.Writes) > 0 || now.Before(h.settleRetry) ||
-		now.Sub(h.eraSeen) < h.options.LeaseTTL+maxWindow+MaxSendDelay {
+		now.Sub(h.eraSeen) < h.options.LeaseTTL+MaxSendDelay {
 		return
 	}
 	t.settles = true
 	t.Writes = append(t.Writes, kvstore.Write{Key: settledKey, Value: []byte(strconv.FormatUint(h.era.Number(), 10)), Expected: h.settledAt})
 }
-
-// maxWindow is the longest window over which a limit counts.
-const maxWindow = 10 * time.Second
--- a/internal/leasedshare/holder.go
+++ b/internal/leasedshare/holder.go
@@ -66,6 +66,7 @@
 	eraSeen      boottime.Instant // when this process first saw it
 	viewEra      kvstore.Era      // era of the view of the store
 	settledEra   kvstore.Era      // the era that settledKey names
+	settledSeen  boottime.Instant // when this process read that
 	settleRetry  boottime.Instant // when settledKey may be written
 	settledAt    kvstore.Revision // of settledKey
 	version      uint64           // changes with the shares that are held
@@ -120,14 +121,17 @@
 		h.loaded, h.hostsChanged = now, now
 	}
 	present := map[share]bool{}
-	h.settledEra, h.settledAt = 0, kvstore.Revision{}
+	settled := kvstore.Entry{Key: settledKey}
 	for _, entry := range entries {
 		if s, ok := parseKey(entry.Key); ok {
 			present[s] = true
 			h.apply(s, entry, now)
 		}
-		h.readSettled(entry)
+		if entry.Key == settledKey {
+			settled = entry
+		}
 	}
+	h.readSettled(settled, now)
 	for s := range h.shares {
 		if !present[s] {
 			h.apply(s, kvstore.Entry{}, now)
@@ -147,7 +151,7 @@
 	if isShare {
 		h.apply(s, entry, now)
 	}
-	h.readSettled(entry)
+	h.readSettled(entry, now)
 }
 
 // enterEra gives up all shares if the era is another one than before: the claims may be gone,
