--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -29,6 +29,7 @@
 	budget  *hostbudget.Budget
 	bounds  atomic.Pointer[hostbudget.Bounds]
 	handled atomic.Int64
+	ahead   atomic.Int64 // by how much the clock of the guard is ahead, in nanoseconds
 }
 
 func start(t *testing.T, limits hostbudget.Limits, bounds hostbudget.Bounds, handler http.HandlerFunc) *server {
@@ -37,7 +38,8 @@
 	s.bounds.Store(&bounds)
 	guard := NewGuard(Options{
 		Budget: s.budget, Bounds: func() hostbudget.Bounds { return *s.bounds.Load() },
-		Logger: log.NewNopLogger(), Metrics: metrics.NewRegistry(), Clock: boottime.Now,
+		Logger: log.NewNopLogger(), Metrics: metrics.NewRegistry(),
+		Clock: func() boottime.Instant { return boottime.Now().Add(time.Duration(s.ahead.Load())) },
 	})
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -226,6 +228,36 @@
 	require.Error(t, err)
 }
 
+// Guards against callers that hold a response, and with it an upstream's connection, without end,
+// and against a response that ends as if it were complete.
+func TestCallersThatReadNothingAreCutOff(t *testing.T) {
+	const size = 64 << 20
+	writing, failed := make(chan struct{}), make(chan error, 1)
+	s := start(t, wide(), bounds(), func(w http.ResponseWriter, _ *http.Request) {
+		close(writing)
+		_, err := w.Write(make([]byte, size))
+		failed <- err
+	})
+	conn, reader := s.dial()
+	_, err := io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
+	require.NoError(t, err)
+	<-writing
+	select {
+	case <-failed:
+		t.Fatal("the write ended in calm, before the time had passed")
+	case <-time.After(time.Second):
+	}
+	s.ahead.Store(int64(2 * time.Minute))
+	select {
+	case err := <-failed:
+		require.Error(t, err)
+	case <-time.After(testWait):
+		t.Fatal("the caller was not cut off")
+	}
+	_, err = io.Copy(io.Discard, reader)
+	require.Error(t, err)
+}
+
 // Guards against heads of many lines that take more than their bytes, and against a refusal that
 // leaves memory taken (checked at the end of each test).
 func TestHeadsWithoutMemoryGet503(t *testing.T) {
