--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -104,7 +104,11 @@
 // when they are followed by a body, on a reused connection and after a change of the policy.
 func TestHeadsAreBoundedToTheByte(t *testing.T) {
 	s := start(t, wide(), bounds(), succeed)
-	for _, test := range []struct{ size, want int }{{16384, 200}, {16385, 431}, {60000, 431}} {
+	tests := []struct{ size, want int }{{16385, 431}, {60000, 431}}
+	for range 100 { // net/http reads on, at the limit, while it calls the handler
+		tests = append(tests, struct{ size, want int }{16384, 200})
+	}
+	for _, test := range tests {
 		conn, reader := s.dial()
 		_, err := io.WriteString(conn, head(300))
 		require.NoError(t, err)
