gateway: a relayed request gets 504 if its deadline passes while a refusal is read

Some callers of a host that is cut off got 502 instead of 504 at their deadline: the head of the other host's 504 had arrived, the deadline broke off its body, and a refusal that can't be read counts as a failed upstream. The host now looks at its own deadline first.

--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -98,7 +98,7 @@
 		if refusal.Executed == problem.ExecutedNo {
 			return attemptOutcome{result: resultNotRun}, refusal.Type != problem.TypeOverloaded, refusal.Detail
 		}
-		if refusal.Status == http.StatusGatewayTimeout {
+		if refusal.Status == http.StatusGatewayTimeout || ctx.Err() != nil { // the refusal may have broken off at the deadline
 			return attemptOutcome{result: resultCancelled}, false, refusal.Detail
 		}
 		return attemptOutcome{result: resultUnknown}, false, refusal.Detail
