placement: a region's hosts begin with the smallest part of its objects

In the first half second the demand was not known, and requests ran in the region. Hosts of large fleets now begin as if the demand were high, and the fraction grows at half the rate at which it falls. The check in TestSimulatedRegionWithFewUpstreams is new and also passed before: the simulation has no such half second.

test/callerlimits: the platform's documents stand in platformtest.

--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -52,7 +52,7 @@
 // record adds a request that takes a slot for some time, in ms, if its object is cached.
 func (o *ownership) record(serviceMS float64, fleet fleetShape, now boottime.Instant) {
 	if o.started == 0 {
-		o.started, o.updatedAt = now, now
+		o.started, o.updatedAt, o.fraction = now, now, o.initial(fleet)
 	}
 	elapsed := now.Sub(o.updatedAt)
 	o.average = o.average*decay(elapsed, demandTimeConstant) + serviceMS/milliseconds(demandTimeConstant)
@@ -65,12 +65,20 @@
 	o.highest = max(o.highest*decay(elapsed, demandMemory), current)
 	target := ownedUtilisation * float64(fleet.regionSlots) / (o.highest * float64(max(fleet.regionHosts, 1)))
 	target = math.Min(1, max(target, fleet.smallestFraction()))
-	if age < shiftWindow {
-		o.fraction = target // there is nothing yet from which requests could shift
-		return
-	}
 	change := o.maxChange * float64(elapsed) / float64(shiftWindow)
-	o.fraction += max(-change, min(change, target-o.fraction))
+	o.fraction += max(-change, min(change/2, target-o.fraction)) // requests of held objects return besides
+}
+
+// initial returns the fraction at the first request. A host of a large fleet begins with the smallest,
+// as if the demand were high: the demand is not known yet, and if all hosts of a region begin together,
+// a change within the first window would shift their requests. Where a single host has a large part of
+// the region's requests, its start would shift them, so it begins with all objects.
+func (o *ownership) initial(fleet fleetShape) float64 {
+	smallest := math.Min(1, fleet.smallestFraction())
+	if (1-smallest)/float64(max(fleet.regionHosts, 1)) > o.maxChange {
+		return 1
+	}
+	return smallest
 }
 
 // owns reports whether the region holds the object with a hash from 0 to 1.
--- a/internal/placement/small_region_test.go
+++ b/internal/placement/small_region_test.go
@@ -22,7 +22,20 @@
 // The callers of a region with few upstreams waited for these, while those of other regions
 // had room and held the same objects.
 func TestSimulatedRegionWithFewUpstreams(t *testing.T) {
-	r := simulateRegions(t, smallRegionFleet())
+	placed, away := map[int]float64{}, map[int]float64{} // of the small region, by window
+	r := simulateRegionsWith(t, smallRegionFleet(), func(s *simulation, j *job, domain string) *server {
+		u := poolPolicy(s, j, domain)
+		if window := int(s.now.Sub(simulationStart) / shiftWindow); u != nil && domain[0] == 'b' {
+			placed[window]++
+			if u.region != "b" {
+				away[window]++
+			}
+		}
+		return u
+	})
+	for window := 1; window < len(placed); window++ {
+		require.InDelta(t, away[window-1]/placed[window-1], away[window]/placed[window], 0.15, "requests that changed their region in window %d", window)
+	}
 	require.Greater(t, r.worstDomainRatio, 0.75, "those of the other regions are at 0.73 to 0.78")
 }
 
@@ -40,7 +53,12 @@
 
 func simulateRegions(t *testing.T, p loadPattern) *simulationResult {
 	t.Helper()
-	r := simulate(p, poolPolicy)
+	return simulateRegionsWith(t, p, poolPolicy)
+}
+
+func simulateRegionsWith(t *testing.T, p loadPattern, choose policy) *simulationResult {
+	t.Helper()
+	r := simulate(p, choose)
 	ratio := func(domain string) float64 { return float64(r.perDomain[domain][1]) / float64(r.perDomain[domain][0]) }
 	t.Logf("on time %.3f, worst domain %.3f (a1 %.3f b1 %.3f c1 %.3f) late %d refused %d expired %d crossed %d of %d",
 		r.onTimeRatio(), r.worstDomainRatio, ratio("a1"), ratio("b1"), ratio("c1"), r.late, r.refused, r.expired, r.crossDomain, r.requests)
--- a/test/callerlimits/rig_test.go
+++ b/test/callerlimits/rig_test.go
@@ -33,12 +33,8 @@
 	// settleTime lets callers that are not served send what they can.
 	settleTime = 5 * time.Second
 	// patience is how long an ordinary caller tries.
-	patience  = 60 * time.Second
-	bigBody   = 4 << 20
-	policyDoc = `{"version":"00000003","base_version":"00000000","resources":[
-{"entry_kind":"routes","meta":{"name":"r"},"spec":{"host":"open.example","prefix":"/","kind":"idempotent","timeout":"10s","target_latency":"500ms","priority":1,"service":"svc","max_attempts":2,"public":true,"sticky":false,"home_regions":[]}},
-{"entry_kind":"services","meta":{"name":"svc"},"spec":{"health_path":"/health","max_conns":1000,"cold_start":"0s","cold_per_s":0}},
-{"entry_kind":"limits","meta":{},"spec":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout":"3s","idle_timeout":"15s"}}]}`
+	patience = 60 * time.Second
+	bigBody  = 4 << 20
 )
 
 var program string
@@ -101,7 +97,7 @@
 	}
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
-	store.Put("op/config", policyDoc)
+	store.Put(platformtest.PolicyKey, platformtest.OpenPolicy)
 	for i := range 4 {
 		u := platformtest.NewUpstream(fmt.Sprintf("i-%d", i))
 		t.Cleanup(u.Close)
@@ -114,18 +110,18 @@
 			w.Header().Set("Content-Length", strconv.Itoa(bigBody))
 			_, _ = w.Write(make([]byte, bigBody)) // the caller may be cut off
 		})
-		store.Put("servers/"+u.ID, u.Entry("svc", "west-a", "ready", 200))
+		store.Put(platformtest.UpstreamPrefix+u.ID, u.Entry("svc", "west-a", "ready", 200))
 	}
 	free := ports(t, 6)
 	h := &host{t: t, maxFDs: maxFDs, callers: free[0], ready: free[1], ended: make(chan struct{}), stopSampling: make(chan struct{}), samplingStopped: make(chan struct{})}
 	_, first, _ := strings.Cut(free[3], ":")
 	_, last, _ := strings.Cut(free[5], ":")
 	file := filepath.Join(t.TempDir(), "host.json")
-	text := fmt.Sprintf(`{"node_name":"h-1","zone":"west-a","region":"west","zones":{"west-a":"west"},
-"listen":{"frontend":%q,"ready":%q,"directory":%q},"ip":"127.0.0.1","port_range":[%s,%s],"limits":{"memory_mb":%d,"max_fds":%d},
-"bounds":{"grace":"2s","config_apply":"2s","revoke":"5s","ttl_max":"5s","retry_ratio":0.2,"retry_slack":60,"retry_window":"10s","cold_excess":1.5,"cold_slack":5,"max_shift":0.15},
-"platform":{"address":%q,"min_ttl":"1s"}}`, free[0], free[1], free[2], first, last, memoryMB, maxFDs, store.Address())
-	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	settings := platformtest.HostSettings{
+		Callers: free[0], Ready: free[1], Lookups: free[2], FirstPort: first, LastPort: last,
+		MemoryMB: memoryMB, Descriptors: maxFDs, Store: store.Address(),
+	}
+	require.NoError(t, os.WriteFile(file, []byte(settings.Text()), 0o600))
 	h.process = exec.Command(program, "gateway", "--log-level", "warn")
 	h.process.Env = append(os.Environ(), platform.SettingsEnvVar+"="+file)
 	var output bytes.Buffer
@@ -191,7 +187,7 @@
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.callers+"/small", http.NoBody)
 	require.NoError(h.t, err)
 	request.Host = "open.example"
-	request.Header.Set("Attempt-Id", fmt.Sprint(time.Now().UnixNano()))
+	request.Header.Set(platformtest.CallHeader, fmt.Sprint(time.Now().UnixNano()))
 	transport := &http.Transport{DisableKeepAlives: true}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
@@ -240,7 +236,7 @@
 	require.Less(h.t, h.peakFDs, h.maxFDs, "descriptors")
 }
 
-const requestLine = "GET /small HTTP/1.1\r\nHost: open.example\r\nAttempt-Id: a\r\n"
+const requestLine = "GET /small HTTP/1.1\r\nHost: open.example\r\n" + platformtest.CallHeader + ": a\r\n"
 
 // writeAll sends part up to n times, until the connection ends.
 func writeAll(conn net.Conn, part string, n int, pause time.Duration) {
