--- a/review/rig2/platform/rig.go
+++ b/review/rig2/platform/rig.go
@@ -265,10 +265,16 @@
 }
 
 // PeakMemory returns the largest resident memory of the process in bytes, zero if it has ended.
-func (h *Host) PeakMemory() int64 {
+func (h *Host) PeakMemory() int64 { return h.status("VmHWM:") }
+
+// Memory returns the resident memory of the process in bytes, zero if it has ended.
+func (h *Host) Memory() int64 { return h.status("VmRSS:") }
+
+// status returns a line of the status of the process, in bytes.
+func (h *Host) status(name string) int64 {
 	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.Pid()))
 	for line := range strings.SplitSeq(string(text), "\n") {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+		if value, ok := strings.CutPrefix(line, name); ok {
 			kilobytes, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(value, "kB")), 10, 64)
 			return kilobytes << 10
 		}
