--- a/review/6/platform/main.go
+++ b/review/6/platform/main.go
@@ -27,6 +27,8 @@
 	work = 800 * time.Millisecond
 	// Six of ten workers lose the answers of a part of the requests that they ran.
 	lostPart = 0.4
+	// lostTime is for how long in each round.
+	lostTime = 4 * time.Second
 )
 
 // policy returns a version. All requests under /places/ may be repeated; in versions with
@@ -75,12 +77,14 @@
 	store.Put(platformtest.PolicyKey, policy(version, false, 0))
 	all := &runs{byID: map[string][]run{}}
 	var ran atomic.Int64
+	var loseUntil atomic.Pointer[time.Time] // workers lose answers until then
+	loseUntil.Store(&time.Time{})
 	for i := range 10 {
 		worker := platformtest.NewUpstream(fmt.Sprintf("i-%d", i))
 		c.Cleanup(worker.Close)
 		worker.SetHandler(func(w http.ResponseWriter, r *http.Request) {
 			n := ran.Add(1)
-			lost := c.Trouble && i%5 < 3 && float64(n%10) < 10*lostPart
+			lost := c.Trouble && time.Now().Before(*loseUntil.Load()) && i%5 < 3 && float64(n%10) < 10*lostPart
 			all.add(r.Header.Get(platformtest.CallHeader), run{worker.ID, time.Now(), lost})
 			time.Sleep(work) // it runs to its end, whatever becomes of the connection
 			if lost {
@@ -106,6 +110,8 @@
 	for round := range rounds {
 		adds := 1 + rand.IntN(stormSteps-2)
 		began := time.Now()
+		end := began.Add(lostTime)
+		loseUntil.Store(&end)
 		booking := false
 		for step := 0; time.Since(began) < stormSteps*stormGap+2*time.Second; {
 			if step < stormSteps && time.Since(began) >= time.Duration(step)*stormGap {
