--- a/review/6/platform/main.go
+++ b/review/6/platform/main.go
@@ -145,16 +145,15 @@
 		if len(each) > 0 && each[0].lost {
 			lost++
 		}
-		if len(each) < 2 {
-			continue
+		if len(each) > 1 {
+			twice++
 		}
-		twice++
 		status, _ := statuses.Load(id)
 		var text []string
 		for _, one := range each {
 			text = append(text, fmt.Sprintf("by %s after %v (answer lost: %v)", one.worker, one.at.Sub(sent[id].at).Round(time.Millisecond), one.lost))
 		}
-		c.Log("request %s of round %d was run %d times: %s; the client got %v", id, sent[id].round, len(each), strings.Join(text, ", "), status)
+		c.Log("request %s of round %d, sent at %s: run %d times (%s); the client got %v", id, sent[id].round, sent[id].at.UTC().Format("15:04:05.000"), len(each), strings.Join(text, ", "), status)
 	}
 	for _, texts := range [][]string{{"invariant violated"}, {"policy in force"}} {
 		for _, line := range h.LogLines(texts...) {
