Take a response for complete only if its connection ended properly

Cause: Linux reports the error of a reset once. With an upload in progress the write gets it, and the read after it returns the end of the stream, which net/http takes for the end of such a response.

Change: http1.Conn reads the responses of upstreams. It passes an end of the stream on only if no write has failed and, while one is in progress, if the socket is still open for writing, which it never is after a reset.

TestResetSeenByAWriteIsNotAnEndOfTheStream shows both results of the socket.

--- a/internal/entry/forward/conn.go
+++ b/internal/entry/forward/conn.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"peridotrail/internal/http1"
 )
 
 // conn is an upstream connection that counts the bytes written to it.
 type conn struct {
-	net.Conn
+	*http1.Conn
 	written       atomic.Int64
 	writesBlocked atomic.Bool
 	closed        sync.Once
@@ -48,7 +50,7 @@
 type dialer struct {
 	limit func() int
 	open  atomic.Int64
-	dial  DialFunc
+	dial  http1.DialFunc
 }
 
 const dialTimeout = 5 * time.Second
@@ -122,5 +124,5 @@
 		d.releaseConnection()
 		return nil, err
 	}
-	return &conn{Conn: raw, onClose: d.releaseConnection}, nil
+	return &conn{Conn: http1.NewConn(raw), onClose: d.releaseConnection}, nil
 }
--- a/internal/entry/forward/transport.go
+++ b/internal/entry/forward/transport.go
@@ -9,21 +9,21 @@
 package forward
 
 import (
-	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
+
+	"peridotrail/internal/http1"
 )
 
 const (
-	idleConnectionTimeout = 90 * time.Second
 	// maxResponseHeadBytes is four times the policy's usual limit on heads of requests. A
 	// response with a longer head has failed.
-	maxResponseHeadBytes = 64 << 10
-	readBufferBytes      = 8 << 10
-	writeBufferBytes     = 8 << 10
+	maxResponseHeadBytes  = 64 << 10
+	idleConnectionTimeout = 90 * time.Second
+	readBufferBytes       = 8 << 10
+	writeBufferBytes      = 8 << 10
 )
 
 // Transport sends requests to one upstream over a limited number of HTTP/1.1
@@ -44,12 +44,9 @@
 	DeadPeerTimeout time.Duration
 	// Dial opens a connection. It returns within DialTimeout. nil: TCP, with the timeouts
 	// above.
-	Dial DialFunc
+	Dial http1.DialFunc
 }
 
-// DialFunc opens a connection to address on the named network.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // NewTransport returns a transport that holds at most limit() connections open.
 func NewTransport(limit func() int) *Transport { return NewTransportWith(Options{Limit: limit}) }
 
--- a/internal/entry/forward/transport_test.go
+++ b/internal/entry/forward/transport_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
+	"peridotrail/internal/http1"
 	"peridotrail/internal/invariant"
 	"peridotrail/internal/problem"
 )
@@ -271,7 +272,7 @@
 func TestBlockedConnectionSendsNothing(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	c := &conn{Conn: near, onClose: func() {}}
+	c := &conn{Conn: http1.NewConn(near), onClose: func() {}}
 	tracker := &writeTracker{conn: c, writtenBefore: 0}
 	require.Equal(t, problem.ExecutedNo, tracker.executed())
 	_, err := c.Write([]byte("POST"))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"peridotrail/internal/changefeed"
 	"peridotrail/internal/entry/forward"
 	"peridotrail/internal/hostbudget"
+	"peridotrail/internal/http1"
 	"peridotrail/internal/kvstore"
 	"peridotrail/internal/linkhealth"
 	"peridotrail/internal/registration"
@@ -39,7 +40,7 @@
 	Metrics  metrics.Registry
 	// DialUpstream opens a connection to an upstream; nil: TCP. Tests use it to simulate
 	// partitions.
-	DialUpstream forward.DialFunc
+	DialUpstream http1.DialFunc
 }
 
 // Gateway is one entry host. Create it with New and start it with Run.
@@ -61,7 +62,7 @@
 	budget     *hostbudget.Budget // memory and connections of callers
 	guard      *callerconn.Guard
 	bodies     *forward.PayloadBudget // memory for request bodies, part of budget
-	dial       forward.DialFunc
+	dial       http1.DialFunc
 	relays     *relays // nil if the host neither relays requests nor sends them for others; set before requests are served
 	started    int64   // incarnation of this process
 	conns      *connTracker
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -7,11 +7,12 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"peridotrail/internal/socket"
 )
 
 const (
@@ -186,23 +187,12 @@
 // hasUnread reports whether bytes have arrived on a connection that were not read. A read whose
 // deadline passes does not tell: bytes may arrive before its goroutine runs again.
 func hasUnread(conn net.Conn) bool {
-	for {
-		outer, ok := conn.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		conn = outer.NetConn()
-	}
-	socket, ok := conn.(syscall.Conn)
+	raw, ok := socket.Raw(conn)
 	if !ok {
 		return false
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false // the connection is closed
-	}
 	unread := 0
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		var first [1]byte
 		unread, _, _ = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
--- a/internal/gateway/transports.go
+++ b/internal/gateway/transports.go
@@ -6,6 +6,7 @@
 
 	"peridotrail/internal/catalog"
 	"peridotrail/internal/entry/forward"
+	"peridotrail/internal/http1"
 )
 
 const (
@@ -23,7 +24,7 @@
 // safe for concurrent use.
 type transports struct {
 	maxConnections func(service string) int // to each upstream of a service
-	dial           forward.DialFunc
+	dial           http1.DialFunc
 
 	mu    sync.Mutex // guards byKey
 	byKey map[transportKey]*forward.Transport
@@ -34,7 +35,7 @@
 	incarnation int64
 }
 
-func newTransports(maxConnections func(string) int, dial forward.DialFunc) *transports {
+func newTransports(maxConnections func(string) int, dial http1.DialFunc) *transports {
 	return &transports{maxConnections: maxConnections, dial: dial, byKey: map[transportKey]*forward.Transport{}}
 }
 
