Refuse responses whose heads are malformed

Cause: net/http accepts blanks in names, so that "Content-Length : 2" is an unknown field and the body lasts until the connection ends. It also joins folded lines, ignores Transfer-Encoding in HTTP/1.0, and accepts control bytes in the reason and other versions. What it returns does not show that.

Change: http1.Conn checks each line of a head while it is read. All clients of a host use it: forwarding, probes, both store clients and the requests for changes of other hosts. Nothing of a malformed response is used, also not that the request has not run. The upstream does not count as crashed or unreachable.

Evidence: TestMalformedHeadIsABrokenResponse failed on the code before for 11 of 23 heads, directly and through another host, and passes now; the other 12 were refused before but not counted. TestMalformedHeadOfTheStoreIsNoResponse failed for two of four. TestUnusualHeadIsAccepted passed before and after.

--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -19,6 +19,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"peridotrail/internal/http1"
 	"peridotrail/internal/httpstatus"
 	"peridotrail/internal/kvstore"
 	"peridotrail/internal/replica"
@@ -173,13 +174,12 @@
 // NewClient returns a Client. It connects to a host at the first request.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+	return &Client{http: &http.Client{Transport: http1.NewTransport(&http.Transport{
 		MaxConnsPerHost:     maxConnsPerPeer,
 		MaxIdleConnsPerHost: maxConnsPerPeer,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}}}
+	}, dialer.DialContext)}}
 }
 
 // Changes implements replica.Source. Errors are of type *kvstore.Error: KindCompacted
--- a/internal/entry/forward/transport.go
+++ b/internal/entry/forward/transport.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// maxResponseHeadBytes is four times the policy's usual limit on heads of requests. A
-	// response with a longer head has failed.
-	maxResponseHeadBytes  = 64 << 10
 	idleConnectionTimeout = 90 * time.Second
 	readBufferBytes       = 8 << 10
 	writeBufferBytes      = 8 << 10
@@ -65,7 +62,7 @@
 		DisableCompression:     true,
 		IdleConnTimeout:        idle,
 		MaxIdleConnsPerHost:    max(1, limit()),
-		MaxResponseHeaderBytes: maxResponseHeadBytes,
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 		ReadBufferSize:         readBufferBytes,
 		WriteBufferSize:        writeBufferBytes,
 		Protocols:              protocols,
--- a/internal/entry/forward/write_tracker.go
+++ b/internal/entry/forward/write_tracker.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"sync"
 
+	"peridotrail/internal/http1"
 	"peridotrail/internal/invariant"
 	"peridotrail/internal/problem"
 )
@@ -56,6 +57,7 @@
 	}
 	t.conn = c
 	t.writtenBefore = c.written.Load()
+	c.ExpectResponse()
 	if t.check == nil {
 		return
 	}
@@ -130,9 +132,20 @@
 		return nil, tracker.newError(request, err)
 	}
 	response.Body = &trackedBody{ReadCloser: response.Body, tracker: tracker}
+	if err := tracker.checkResponse(); err != nil {
+		Discard(response)
+		return nil, &Error{Target: request.URL.Host, Phase: PhaseResponse, Executed: problem.ExecutedUnknown, Err: err}
+	}
 	return response, nil
 }
 
+// checkResponse returns an error if the response is not well-formed.
+func (t *writeTracker) checkResponse() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return http1.Check(t.conn.Conn)
+}
+
 // trackedBody is a response body with a reference to its connection.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -115,8 +115,8 @@
 	metrics.GetOrRegisterCounter("response.foreign", m.registry).Inc(1)
 }
 
-// countInvalidResponse counts a response of an upstream or of another host with an invalid
-// status.
+// countInvalidResponse counts a response of an upstream or of another host that is not
+// well-formed.
 func (m *requestMetrics) countInvalidResponse() {
 	metrics.GetOrRegisterCounter("response.invalid", m.registry).Inc(1)
 }
--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -7,13 +7,12 @@
 	"strings"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
 	"peridotrail/internal/fleet/relay"
-	"peridotrail/internal/httpstatus"
+	"peridotrail/internal/http1"
 	"peridotrail/internal/problem"
 	"peridotrail/internal/routing"
 )
@@ -86,8 +85,7 @@
 		if ctx.Err() != nil {
 			return attemptOutcome{result: resultCancelled}, false, err.Error()
 		}
-		var invalid *httpstatus.InvalidError
-		if errors.As(err, &invalid) {
+		if http1.IsInvalid(err) {
 			x.gateway.metrics.countInvalidResponse()
 		}
 		result, unable := relayResult(err)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -14,6 +14,7 @@
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/entry/forward"
+	"peridotrail/internal/http1"
 	"peridotrail/internal/httpstatus"
 	"peridotrail/internal/invariant"
 	"peridotrail/internal/placement"
@@ -68,7 +69,8 @@
 	x.arrived = true
 	x.gateway.links.Responded(now)
 	if err := httpstatus.Check(response.StatusCode); err != nil {
-		return x.finishInvalid(placed, response, err)
+		forward.Discard(response)
+		return x.finishInvalid(placed, err)
 	}
 	reply := x.gateway.dialect.ReadReply(response)
 	if reply.CallID != x.call.ID { // also without an ID: a copy of an earlier response may lack it
@@ -174,12 +176,13 @@
 	return attemptOutcome{result: resultNotRun}
 }
 
-// finishInvalid ends an attempt whose response has an invalid status. Nothing that the response
-// says is used, also not that the request has not run.
-func (x *exchange) finishInvalid(placed *placement.Placement, response *http.Response, err error) attemptOutcome {
+// finishInvalid ends an attempt whose response is not well-formed. Nothing that the response
+// says is used, also not that the request has not run. The upstream runs and can be reached.
+func (x *exchange) finishInvalid(placed *placement.Placement, err error) attemptOutcome {
+	x.arrived = true
+	x.gateway.links.Responded(boottime.Now())
 	x.gateway.metrics.countInvalidResponse()
 	x.logFailedAttempt(placed, err)
-	forward.Discard(response)
 	placed.Done(placement.Report{Outcome: placement.OutcomeFailed}, boottime.Now())
 	return attemptOutcome{result: resultUnknown}
 }
@@ -206,6 +209,9 @@
 		placed.Done(placement.Report{Outcome: placement.OutcomeCancelled}, now)
 		return attemptOutcome{result: resultWithheld}
 	}
+	if http1.IsInvalid(err) {
+		return x.finishInvalid(placed, err)
+	}
 	x.logFailedAttempt(placed, err)
 	var failure *forward.Error
 	isForwardError := errors.As(err, &failure)
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -1,11 +1,13 @@
-// Package http1 decides which HTTP/1.1 responses are complete. net/http alone can take a response
-// that a reset cut short for one that ended with its connection.
+// Package http1 decides which HTTP/1.1 responses are well-formed and complete. Every HTTP client
+// of a host reads its responses through it: net/http alone accepts some malformed heads, and can
+// take a response that a reset cut short for one that ended with its connection.
 package http1
 
 import (
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -29,12 +31,16 @@
 }
 
 // Conn is a client's connection on which http.Transport reads responses. Read returns a
-// *ResetError instead of an io.EOF that is not known to be the peer's end of the stream. One
-// goroutine may read while another writes.
+// *MalformedError instead of the bytes of a malformed head, and a *ResetError instead of an
+// io.EOF that is not known to be the peer's end of the stream. One goroutine may read while
+// another writes.
 type Conn struct {
 	net.Conn
 	writing     atomic.Int64 // calls of Write in progress
 	writeFailed atomic.Bool
+
+	mu   sync.Mutex // guards head; never held while Conn is read
+	head headScanner
 }
 
 // NewConn returns a Conn that reads from and writes to inner.
@@ -43,6 +49,21 @@
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// ExpectResponse says that a request is about to be sent: the next bytes that are read begin the
+// head of its response.
+func (c *Conn) ExpectResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.start()
+}
+
+// received reports whether a whole head was read since the last call of ExpectResponse.
+func (c *Conn) received() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.complete
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Add(1)
@@ -57,6 +78,14 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		malformed := c.head.scan(p[:n])
+		c.mu.Unlock()
+		if malformed != nil {
+			return 0, malformed
+		}
+	}
 	if n == 0 && err == io.EOF && !c.endedByPeer() {
 		return 0, &ResetError{}
 	}
--- /dev/null
+++ b/internal/http1/transport.go
@@ -0,0 +1,64 @@
+package http1
+
+import (
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/go-faster/errors"
+
+	"peridotrail/internal/httpstatus"
+)
+
+// MaxHeadBytes limits the head of a response, interim responses included. It is four times the
+// policy's usual limit on heads of requests.
+const MaxHeadBytes = 64 << 10
+
+// Check returns a *MalformedError if the response was received before the request that was
+// announced on conn with ExpectResponse. The caller must close the connection then.
+func Check(conn *Conn) error {
+	if !conn.received() {
+		return malformed("received before its request was sent", nil)
+	}
+	return nil
+}
+
+// IsInvalid reports whether err is about a response that is not well-formed.
+func IsInvalid(err error) bool {
+	var malformed *MalformedError
+	var status *httpstatus.InvalidError
+	return errors.As(err, &malformed) || errors.As(err, &status)
+}
+
+// Transport is an http.RoundTripper that returns an error for responses that are not well-formed.
+// It is safe for concurrent use.
+type Transport struct{ base *http.Transport }
+
+// NewTransport returns a Transport that sends requests with base, over connections that dial
+// opens. base must not be used by others.
+func NewTransport(base *http.Transport, dial DialFunc) *Transport {
+	base.DialContext = Dial(dial)
+	base.MaxResponseHeaderBytes = MaxHeadBytes
+	return &Transport{base: base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var conn *Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn = info.Conn.(*Conn)
+		conn.ExpectResponse()
+	}}
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(conn); err != nil {
+		_ = conn.Close()          // no other request may use it
+		_ = response.Body.Close() // it is not used
+		return nil, err
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes the connections that carry no request. http.Client calls it.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/internal/kvstore/httpstore/httpstore.go
+++ b/internal/kvstore/httpstore/httpstore.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"peridotrail/internal/http1"
 	"peridotrail/internal/kvstore"
 )
 
@@ -52,11 +54,11 @@
 // New returns a client for a store with the given base URLs. There must be at least
 // one.
 func New(endpoints []string, opts ...Option) *Client {
-	transport := &http.Transport{
+	transport := http1.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}
+	}, new(net.Dialer).DialContext)
 	c := &Client{
 		endpoints: endpoints,
 		http:      &http.Client{Transport: transport},
