--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -20,7 +20,6 @@
 	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/http1"
-	"peridotrail/internal/httpstatus"
 	"peridotrail/internal/kvstore"
 	"peridotrail/internal/replica"
 )
@@ -199,9 +198,6 @@
 		return fail(kvstore.KindUnavailable, err)
 	}
 	defer response.Body.Close()
-	if err := httpstatus.Check(response.StatusCode); err != nil {
-		return fail(kvstore.KindUnavailable, err)
-	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	switch {
 	case err != nil:
--- a/internal/entry/forward/write_tracker.go
+++ b/internal/entry/forward/write_tracker.go
@@ -132,7 +132,7 @@
 		return nil, tracker.newError(request, err)
 	}
 	response.Body = &trackedBody{ReadCloser: response.Body, tracker: tracker}
-	if err := tracker.checkResponse(); err != nil {
+	if err := tracker.checkResponse(response); err != nil {
 		Discard(response)
 		return nil, &Error{Target: request.URL.Host, Phase: PhaseResponse, Executed: problem.ExecutedUnknown, Err: err}
 	}
@@ -140,10 +140,10 @@
 }
 
 // checkResponse returns an error if the response is not well-formed.
-func (t *writeTracker) checkResponse() error {
+func (t *writeTracker) checkResponse(response *http.Response) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return http1.Check(t.conn.Conn)
+	return http1.Check(t.conn.Conn, response)
 }
 
 // trackedBody is a response body with a reference to its connection.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -15,7 +15,6 @@
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/entry/forward"
 	"peridotrail/internal/http1"
-	"peridotrail/internal/httpstatus"
 	"peridotrail/internal/invariant"
 	"peridotrail/internal/placement"
 	"peridotrail/internal/problem"
@@ -68,10 +67,6 @@
 	now := boottime.Now()
 	x.arrived = true
 	x.gateway.links.Responded(now)
-	if err := httpstatus.Check(response.StatusCode); err != nil {
-		forward.Discard(response)
-		return x.finishInvalid(placed, err)
-	}
 	reply := x.gateway.dialect.ReadReply(response)
 	if reply.CallID != x.call.ID { // also without an ID: a copy of an earlier response may lack it
 		x.gateway.metrics.countForeignResponse()
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -13,13 +13,14 @@
 // policy's usual limit on heads of requests.
 const MaxHeadBytes = 64 << 10
 
-// Check returns a *MalformedError if the response was received before the request that was
-// announced on conn with ExpectResponse. The caller must close the connection then.
-func Check(conn *Conn) error {
+// Check returns an error if the response can't be the answer to the request that was announced
+// on conn with ExpectResponse: an *httpstatus.InvalidError, or a *MalformedError if it was
+// received before the request was sent. The caller must close the connection then.
+func Check(conn *Conn, response *http.Response) error {
 	if !conn.received() {
 		return malformed("received before its request was sent", nil)
 	}
-	return nil
+	return httpstatus.Check(response.StatusCode)
 }
 
 // IsInvalid reports whether err is about a response that is not well-formed.
@@ -52,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := Check(conn); err != nil {
+	if err := Check(conn, response); err != nil {
 		_ = conn.Close()          // no other request may use it
 		_ = response.Body.Close() // it is not used
 		return nil, err
--- a/internal/http1/transport_test.go
+++ b/internal/http1/transport_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"peridotrail/internal/httpstatus"
 )
 
 // serve sends a response to each request on a connection, and extra bytes after the first one.
@@ -57,9 +59,11 @@
 
 func TestTransportRefusesResponsesThatAreNotWellFormed(t *testing.T) {
 	var malformed *MalformedError
+	var status *httpstatus.InvalidError
 	for response, target := range map[string]any{
-		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok": &malformed,
-		"HTTP/1.1 200 OK\r\nA: 1\r\n\x01B: 2\r\n\r\nok":   &malformed,
+		"HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok": &status,
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok":     &malformed,
+		"HTTP/1.1 200 OK\r\nA: 1\r\n\x01B: 2\r\n\r\nok":       &malformed,
 	} {
 		_, err := get(t, newTestTransport(), serve(t, response, ""))
 		require.ErrorAs(t, err, target)
@@ -107,7 +111,7 @@
 	require.NoError(t, err)
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	require.NoError(t, err)
-	require.NoError(t, Check(c))
+	require.NoError(t, Check(c, response))
 	failed := writeUntilError(c)
 	time.Sleep(10 * time.Millisecond)
 	require.NoError(t, peer.SetLinger(0))
