Limit the bodies that the store's client reads

Cause: upstreams could not do this here, the platform's store could: its client read bodies whole, whatever their length.

Heads that do not begin with a version end at once.

Evidence: TestEndlessResponseOfTheStoreIsCut failed on the code before for 7 of 18 kinds of response, all those with the endless bytes in the body, and passes now. TestEndlessResponsesFitIntoTheMemoryOfASmallHost passed before and after, with a peak of 86 MB in both, 184 MB allowed.

--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -198,7 +197,7 @@
 		return fail(kvstore.KindUnavailable, err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := http1.ReadBody(response, maxResponseBytes)
 	switch {
 	case err != nil:
 		return fail(kvstore.KindUnavailable, err)
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -48,8 +48,16 @@
 	length, encoded bool // Content-Length, Transfer-Encoding
 }
 
+// maxKeptLine is the capacity in bytes above which the buffer of a line is not used again.
+const maxKeptLine = 1 << 10
+
 // start begins to scan a head.
-func (s *headScanner) start() { *s = headScanner{scanning: true, line: s.line[:0]} }
+func (s *headScanner) start() {
+	*s = headScanner{scanning: true, line: s.line[:0]}
+	if cap(s.line) > maxKeptLine {
+		s.line = nil
+	}
+}
 
 // scan checks the next bytes of the connection. After an error it returns the same again.
 func (s *headScanner) scan(p []byte) error {
@@ -57,7 +65,10 @@
 		end := bytes.IndexByte(p, '\n')
 		if end < 0 {
 			s.line = append(s.line, p...)
-			return nil
+			if !s.begun && !beginsVersion(s.line) {
+				s.err = malformed("invalid version", s.line)
+			}
+			return s.err
 		}
 		line := p[:end]
 		if len(s.line) > 0 {
@@ -98,7 +109,7 @@
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	code, reason, _ := bytes.Cut(rest, []byte(" "))
 	switch {
-	case len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[7]):
+	case len(version) != len("HTTP/1.1") || !beginsVersion(version) || !isDigit(version[7]):
 		return malformed("invalid version", line)
 	case len(code) != 3:
 		return malformed("invalid status code", line)
@@ -110,6 +121,12 @@
 	return nil
 }
 
+// beginsVersion reports whether a status line may begin with text.
+func beginsVersion(text []byte) bool {
+	const version = "HTTP/1."
+	return string(text[:min(len(text), len(version))]) == version[:min(len(text), len(version))]
+}
+
 // scanField checks a field line (RFC 9112, section 5). One that begins with a blank is refused
 // too: it continues the line before, which section 5.2 allows a gateway to refuse.
 func (s *headScanner) scanField(line []byte) error {
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -1,6 +1,8 @@
 package http1
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 
@@ -23,6 +25,27 @@
 	return httpstatus.Check(response.StatusCode)
 }
 
+// BodyLengthError reports a body that is longer than its reader accepts.
+type BodyLengthError struct{ Limit int64 } // bytes
+
+// Error implements error.
+func (e *BodyLengthError) Error() string {
+	return fmt.Sprintf("the body of the response is longer than %d bytes", e.Limit)
+}
+
+// ReadBody reads the body of a response whole. It returns a *BodyLengthError if the body is longer
+// than limit bytes; the caller must close it then, which closes the connection.
+func ReadBody(response *http.Response, limit int64) ([]byte, error) {
+	if response.ContentLength > limit {
+		return nil, &BodyLengthError{Limit: limit}
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, &BodyLengthError{Limit: limit}
+	}
+	return body, err
+}
+
 // IsInvalid reports whether err is about a response that is not well-formed.
 func IsInvalid(err error) bool {
 	var malformed *MalformedError
--- a/internal/kvstore/httpstore/call.go
+++ b/internal/kvstore/httpstore/call.go
@@ -5,11 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"time"
 
+	"peridotrail/internal/http1"
 	"peridotrail/internal/kvstore"
 )
 
@@ -101,7 +101,10 @@
 	}
 	defer httpResponse.Body.Close()
 	var response Response
-	err = json.NewDecoder(io.LimitReader(httpResponse.Body, maxResponseBytes)).Decode(&response)
+	data, err := http1.ReadBody(httpResponse, maxResponseBytes)
+	if err == nil {
+		err = json.Unmarshal(data, &response)
+	}
 	return response, k.errorForStatus(httpResponse.StatusCode, err)
 }
 
