Pass on no request late in a planned stop that the stop would cut

Cause: the host looked only at the arrival of the head whether it still takes a request. One whose body arrived later, or that needed another attempt, was sent at any time up to the end. With a long grace, requests were sent unchecked later than 3 s after SIGTERM. Nothing answered what was in progress at the end.

The process ends at 0.95 as before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -22,6 +22,7 @@
 type exchange struct {
 	gateway *Gateway
 	request *http.Request
+	ctx     context.Context // of the request, ends also when the host gives it up
 	call    Call
 	start   boottime.Instant // when the request arrived from the caller
 
@@ -64,6 +65,10 @@
 
 // serve handles the request.
 func (x *exchange) serve(w http.ResponseWriter) {
+	ctx, cancel := context.WithCancel(x.request.Context())
+	defer cancel()
+	defer context.AfterFunc(x.gateway.stop.abandoned, cancel)()
+	x.ctx = ctx
 	defer func() {
 		if reason := recover(); reason != nil {
 			x.handlePanic(w, reason)
@@ -264,7 +269,7 @@
 // dispatch sends the request to one upstream after another until one responds, and
 // delivers the response. If none does, it returns the problem to respond with.
 func (x *exchange) dispatch(w http.ResponseWriter) *problem.Problem {
-	ctx, cancel := context.WithTimeout(x.request.Context(), x.deadline.Sub(boottime.Now()))
+	ctx, cancel := context.WithTimeout(x.ctx, x.deadline.Sub(boottime.Now()))
 	defer cancel()
 	for {
 		attempt, rejection := x.attempt(ctx)
@@ -364,16 +369,19 @@
 }
 
 // authoriseAttempt charges the client account for the first attempt, and checks the
-// policy and the keys again.
+// policy and the keys again, and whether the host stays long enough.
 func (x *exchange) authoriseAttempt() *problem.Problem {
 	if rejection := x.admit(); rejection != nil {
 		return rejection
 	}
-	if rejection := x.reauthorise(); rejection != nil {
+	rejection := x.reauthorise()
+	if rejection == nil {
+		rejection = x.checkStop()
+	}
+	if rejection != nil {
 		x.refundToken()
-		return rejection
 	}
-	return nil
+	return rejection
 }
 
 // place chooses the upstream of the next attempt.
@@ -490,8 +498,11 @@
 // whose caller has closed the connection.
 func (x *exchange) deadlineExceeded() *problem.Problem {
 	detail := "no answer in time"
-	if x.request.Context().Err() != nil {
+	switch {
+	case x.request.Context().Err() != nil:
 		detail = "the caller left"
+	case x.ctx.Err() != nil:
+		detail = "the host ended before the upstream answered"
 	}
 	return problem.New(problem.TypeDeadlineExceeded, problem.ExecutedUnknown, detail)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,7 @@
 
 	shuttingDown atomic.Bool // the readiness check fails and callers are asked to close connections
 	rejecting    atomic.Bool // new requests are rejected
+	stop         *plannedStop
 }
 
 // New returns a gateway that listens on no address until Run is called.
@@ -87,6 +88,7 @@
 		dial:       o.DialUpstream,
 		started:    time.Now().UnixNano(),
 		conns:      newConnTracker(),
+		stop:       newPlannedStop(),
 		budget:     hostbudget.New(o.Settings.callerLimits()),
 	}
 	g.bodies = forward.NewPayloadBudget(o.Settings.bodyMemory(), g.budget)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -20,16 +20,6 @@
 	"peridotrail/internal/observe"
 )
 
-const (
-	// rejectAfterFraction is the fraction of the grace period after which a host
-	// that shuts down rejects new requests. Until then callers learn from look-ups
-	// that it is no longer available.
-	rejectAfterFraction = 0.45
-	// shutdownEndFraction is the fraction of the grace period after which requests
-	// still in progress are abandoned and the process ends.
-	shutdownEndFraction = 0.95
-)
-
 // Run serves until ctx ends, then shuts down gracefully within the grace period. It
 // fails if a listener can't be opened. It must be called at most once.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -106,12 +96,14 @@
 }
 
 // shutdown stops the host gracefully: it withdraws the host from look-ups, rejects
-// new requests after a delay, and waits for the requests in progress to end.
+// new requests after a delay, waits for the requests in progress to end, and gives those up that
+// don't in time.
 func (g *Gateway) shutdown(servers []*http.Server, withdraw context.CancelFunc) {
 	_ = level.Info(g.logger).Log("event", "leaving", "grace", g.settings.get().Grace)
 	grace := g.settings.get().Grace
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), scale(grace, shutdownEndFraction))
 	defer cancel()
+	defer g.stop.begin(grace, boottime.Now())()
 	g.shuttingDown.Store(true)
 	withdraw()
 	time.Sleep(scale(grace, rejectAfterFraction))
