Complete a response without a length only when its request was accepted

Cause: a close with nothing unread ends the stream properly and resets the connection only when more of the upload arrives, so that no write had failed and the socket was open when the end was read.

Change: an end of the stream completes such a response once the peer's system has acknowledged the whole request, no write has failed and the socket is open.

--- a/internal/entry/forward/write_tracker.go
+++ b/internal/entry/forward/write_tracker.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// wroteRequest is the httptrace hook for a request that was written.
+func (t *writeTracker) wroteRequest(info httptrace.WroteRequestInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		t.conn.RequestSent(info)
+	}
+}
+
 // refuseResendLocked keeps a request that may have been sent from being written on a second
 // connection. The caller holds t.mu.
 func (t *writeTracker) refuseResendLocked(second net.Conn) {
@@ -125,7 +134,7 @@
 		tracker.check = check
 		ctx, tracker.cancel = context.WithCancelCause(ctx)
 	}
-	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
+	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn, WroteRequest: tracker.wroteRequest}
 	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
 	response, err := base.RoundTrip(request)
 	if err != nil {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -7,9 +7,11 @@
 	"context"
 	"io"
 	"net"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -30,21 +32,26 @@
 	}
 }
 
+// settleInterval is the time between two looks at a request that is still being sent when the
+// end of its response arrives.
+const settleInterval = 2 * time.Millisecond
+
 // Conn is a client's connection on which http.Transport reads responses. Read returns a
 // *MalformedError instead of the bytes of a malformed head, and a *ResetError instead of an
-// io.EOF that is not known to be the peer's end of the stream. One goroutine may read while
-// another writes.
+// io.EOF that does not complete the response. One goroutine may read while another writes.
 type Conn struct {
 	net.Conn
-	writing     atomic.Int64 // calls of Write in progress
 	writeFailed atomic.Bool
+	requestSent atomic.Bool // the request was handed to Write
+	closed      chan struct{}
+	closeOnce   sync.Once
 
 	mu   sync.Mutex // guards head; never held while Conn is read
 	head headScanner
 }
 
 // NewConn returns a Conn that reads from and writes to inner.
-func NewConn(inner net.Conn) *Conn { return &Conn{Conn: inner} }
+func NewConn(inner net.Conn) *Conn { return &Conn{Conn: inner, closed: make(chan struct{})} }
 
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
@@ -54,20 +61,28 @@
 func (c *Conn) ExpectResponse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.requestSent.Store(false)
 	c.head.start()
 }
 
-// received reports whether a whole head was read since the last call of ExpectResponse.
-func (c *Conn) received() bool {
+// RequestSent says that the request was written. It has the signature of
+// httptrace.ClientTrace.WroteRequest.
+func (c *Conn) RequestSent(info httptrace.WroteRequestInfo) {
+	if info.Err == nil {
+		c.requestSent.Store(true)
+	}
+}
+
+// received reports whether a whole head was read since the last call of ExpectResponse, and
+// whether the body after it lasts until the connection ends.
+func (c *Conn) received() (complete, untilClose bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.complete
+	return c.head.complete, c.head.complete && !c.head.framing.length && !c.head.framing.encoded
 }
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.writing.Add(1)
-	defer c.writing.Add(-1)
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.writeFailed.Store(true)
@@ -86,45 +101,73 @@
 			return 0, malformed
 		}
 	}
-	if n == 0 && err == io.EOF && !c.endedByPeer() {
+	if n == 0 && err == io.EOF && !c.completesResponse() {
 		return 0, &ResetError{}
 	}
 	return n, err
 }
 
-// endedByPeer reports whether an end of the stream that was just read was sent by the peer. A
-// socket reports the error of a reset once, to the call that comes first. If that is a write,
-// reads after it return the end of the stream, whether the peer sent one or not.
-func (c *Conn) endedByPeer() bool {
-	writing := c.writing.Load() > 0 // before writeFailed: a write that ends in between has set that
-	if c.writeFailed.Load() {
-		return false
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// completesResponse reports whether an end of the stream that was just read completes a response
+// that lasts until then. It does if the peer's system has accepted the whole request. Otherwise it
+// may come from a reset, whose error a socket reports only once, to a write if that comes first;
+// or the peer closed the connection in the middle of the request, which ends in a reset when more
+// of the request arrives.
+//
+// It waits until the request was accepted or the connection has ended. Other responses are not
+// concerned: to them the end of the stream is an error.
+func (c *Conn) completesResponse() bool {
+	if _, untilClose := c.received(); !untilClose {
+		return true
+	}
+	for {
+		sent := c.requestSent.Load()
+		open, unacknowledged := c.state()
+		if c.writeFailed.Load() || !open {
+			return false
+		}
+		if sent && unacknowledged == 0 {
+			return true
+		}
+		select {
+		case <-c.closed:
+			return false
+		case <-time.After(settleInterval):
+		}
 	}
-	return !writing || c.open()
 }
 
-// open reports whether the socket may still be written to, which it may not after a reset.
-func (c *Conn) open() bool {
+// state returns whether the socket may still be written to, which it may not after a reset, and
+// how many bytes the peer has not acknowledged. Of a connection without a socket it is not known:
+// it counts as open, with no such bytes.
+func (c *Conn) state() (open bool, unacknowledged int) {
 	raw, ok := socket.Raw(c.Conn)
 	if !ok {
-		return false
+		return true, 0
 	}
-	open := false
 	err := raw.Control(func(fd uintptr) {
 		events := []unix.PollFd{{Fd: int32(fd)}}
 		_, err := unix.Poll(events, 0)
-		open = err == nil && events[0].Revents&(unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) == 0
+		open = err != nil || events[0].Revents&(unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) == 0
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			unacknowledged = n
+		}
 	})
-	return err == nil && open
+	return err == nil && open, unacknowledged
 }
 
-// ResetError reports a connection whose end can't be told from a reset, because a write on it
-// failed before. It is a syscall.ECONNRESET.
+// ResetError reports a connection that was reset, or ended before its request was sent. It is a
+// syscall.ECONNRESET.
 type ResetError struct{}
 
 // Error implements error.
 func (*ResetError) Error() string {
-	return "the connection was reset, or ended after a write on it had failed"
+	return "the connection was reset, or ended before its request was sent"
 }
 
 // Unwrap returns syscall.ECONNRESET.
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 
@@ -19,7 +20,7 @@
 // on conn with ExpectResponse: an *httpstatus.InvalidError, or a *MalformedError if it was
 // received before the request was sent. The caller must close the connection then.
 func Check(conn *Conn, response *http.Response) error {
-	if !conn.received() {
+	if complete, _ := conn.received(); !complete {
 		return malformed("received before its request was sent", nil)
 	}
 	return httpstatus.Check(response.StatusCode)
@@ -67,15 +68,20 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var conn *Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn = info.Conn.(*Conn)
-		conn.ExpectResponse()
-	}}
+	var used atomic.Pointer[Conn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn := info.Conn.(*Conn)
+			conn.ExpectResponse()
+			used.Store(conn)
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { used.Load().RequestSent(info) },
+	}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
+	conn := used.Load()
 	if err := Check(conn, response); err != nil {
 		_ = conn.Close()          // no other request may use it
 		_ = response.Body.Close() // it is not used
