Judge the version of a response only when it was read whole

TestInvalidStatusIsABrokenResponseThroughARelay/199 failed with 502 for 504: after the interim response it sends two bytes that begin no response, and the check of unfinished status lines ended the wait for the next one at once.

It waits for seven bytes now; the test is unchanged and passes.

Also: a malformed response to a request that was provably not sent leaves the request not run, as other failures before its first byte do.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -204,12 +204,12 @@
 		placed.Done(placement.Report{Outcome: placement.OutcomeCancelled}, now)
 		return attemptOutcome{result: resultWithheld}
 	}
-	if http1.IsInvalid(err) {
+	var failure *forward.Error
+	isForwardError := errors.As(err, &failure)
+	if http1.IsInvalid(err) && (!isForwardError || failure.Executed != problem.ExecutedNo) {
 		return x.finishInvalid(placed, err)
 	}
 	x.logFailedAttempt(placed, err)
-	var failure *forward.Error
-	isForwardError := errors.As(err, &failure)
 	outcome := outcomeOf(failure)
 	placed.Done(placement.Report{Outcome: outcome}, now)
 	linkFailed := isForwardError && failure.Phase != forward.PhaseResponse && outcome != placement.OutcomeNotRun
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -65,7 +65,7 @@
 		end := bytes.IndexByte(p, '\n')
 		if end < 0 {
 			s.line = append(s.line, p...)
-			if !s.begun && !beginsVersion(s.line) {
+			if !s.begun && len(s.line) >= len(versionPrefix) && !beginsWithVersion(s.line) {
 				s.err = malformed("invalid version", s.line)
 			}
 			return s.err
@@ -109,7 +109,7 @@
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	code, reason, _ := bytes.Cut(rest, []byte(" "))
 	switch {
-	case len(version) != len("HTTP/1.1") || !beginsVersion(version) || !isDigit(version[7]):
+	case len(version) != len("HTTP/1.1") || !beginsWithVersion(version) || !isDigit(version[7]):
 		return malformed("invalid version", line)
 	case len(code) != 3:
 		return malformed("invalid status code", line)
@@ -121,11 +121,9 @@
 	return nil
 }
 
-// beginsVersion reports whether a status line may begin with text.
-func beginsVersion(text []byte) bool {
-	const version = "HTTP/1."
-	return string(text[:min(len(text), len(version))]) == version[:min(len(text), len(version))]
-}
+const versionPrefix = "HTTP/1."
+
+func beginsWithVersion(line []byte) bool { return bytes.HasPrefix(line, []byte(versionPrefix)) }
 
 // scanField checks a field line (RFC 9112, section 5). One that begins with a blank is refused
 // too: it continues the line before, which section 5.2 allows a gateway to refuse.
