--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -21,8 +21,8 @@
 // DialFunc opens a connection to address on the named network.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Dial returns a DialFunc whose connections are of type *Conn.
-func Dial(dial DialFunc) DialFunc {
+// wrapDial returns a DialFunc whose connections are of type *Conn.
+func wrapDial(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
@@ -120,7 +120,7 @@
 // of the request arrives.
 //
 // It waits until the request was accepted or the connection has ended. Other responses are not
-// concerned: to them the end of the stream is an error.
+// concerned: to them an end of the stream is an error, or comes after their own.
 func (c *Conn) completesResponse() bool {
 	if _, untilClose := c.received(); !untilClose {
 		return true
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -61,7 +61,7 @@
 // NewTransport returns a Transport that sends requests with base, over connections that dial
 // opens. base must not be used by others.
 func NewTransport(base *http.Transport, dial DialFunc) *Transport {
-	base.DialContext = Dial(dial)
+	base.DialContext = wrapDial(dial)
 	base.MaxResponseHeaderBytes = MaxHeadBytes
 	return &Transport{base: base}
 }
