gateway: a request is not repeated once a policy forbids it

Cause: after a lost response the route of the failed attempt decided that the request may be repeated. Before the next attempt the host replaced the route by that of the policy in force, and nothing asked again. The invariant noticed it, was logged, and the request was sent. The same holds while the second attempt waits for a connection, and for a host that sends a request of another one: it asked its own policy only, which may be older.

Change: an exchange remembers that any route that applied to the request since it arrived forbids repeats, or that the host from which it comes says so. mayRepeat also asks the policy in force, and decides after each attempt, before the next one, and once more when the request has its connection.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -42,6 +42,7 @@
 	counted         bool   // the request was counted for the retry budget
 	arrived         bool   // an upstream may have received the request
 	mayHaveRun      bool   // an upstream may have run the request
+	atMostOnce      bool   // a route that applied to the request since it arrived does not allow that it runs again
 	responseStarted bool   // part of a response may have been sent
 	responseMemory  int64  // bytes taken for buffered responses
 	lastResult      string // result of the last attempt, for the log
@@ -186,6 +187,7 @@
 		return notRunProblem(problem.TypeNotFound, "no route matches")
 	}
 	x.account = table.AccountByKey(x.call.Key)
+	x.atMostOnce = x.atMostOnce || forbidsRepeats(x.route)
 	switch {
 	case x.route.Unusable != "":
 		return unusableProblem("route " + x.route.Name + ": " + x.route.Unusable)
@@ -197,6 +199,20 @@
 	return x.checkKeysCurrent()
 }
 
+// forbidsRepeats reports whether a request on the route may run at most once. A request that no
+// route matches is not sent.
+func forbidsRepeats(route *routing.Route) bool { return route != nil && !route.Idempotent }
+
+// mayRepeat reports whether a request that may have run may be sent to another upstream: every
+// policy that was in force here since it arrived must allow that, also one that came into force
+// between two attempts.
+func (x *exchange) mayRepeat() bool {
+	if table := x.gateway.state.table.Load(); table != x.table {
+		x.atMostOnce = x.atMostOnce || forbidsRepeats(table.Route(x.request.Host, x.request.URL.Path))
+	}
+	return !x.atMostOnce
+}
+
 // checkServiceUsable rejects requests for a service whose entry in the policy can't be
 // applied.
 func (x *exchange) checkServiceUsable() *problem.Problem {
@@ -362,7 +378,7 @@
 		x.mayHaveRun = true
 		return true, x.deadlineExceeded()
 	}
-	if x.mayHaveRun && !x.route.Idempotent {
+	if x.mayHaveRun && !x.mayRepeat() {
 		return true, x.outcomeUnknown("the upstream gave no answer")
 	}
 	return false, nil
@@ -446,6 +462,9 @@
 		}
 		return rejection
 	}
+	if x.mayHaveRun && !x.mayRepeat() {
+		return x.outcomeUnknown("the policy in force now does not allow that the request runs again")
+	}
 	if x.table != before && !routesTo(x.route, x.service) && x.relayedBy == "" {
 		x.service = x.gateway.splitter.chooseService(x.route)
 	}
--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -77,7 +77,7 @@
 // requests now, and detail why the request was not answered.
 func (x *exchange) relayTo(ctx context.Context, peer relayPeer) (outcome attemptOutcome, unable bool, detail string) {
 	metadata := relay.Metadata{
-		Service: x.service, Idempotent: x.route.Idempotent, Counted: x.counted,
+		Service: x.service, Idempotent: x.mayRepeat(), Counted: x.counted,
 		ElapsedMs: boottime.Now().Sub(x.start).Milliseconds(),
 	}
 	response, err := x.gateway.relays.client.Send(peer.address, metadata, x.relayedRequest(ctx))
@@ -170,6 +170,7 @@
 		gateway: g, request: r, call: g.dialect.ReadCall(r),
 		start:     boottime.Now().Add(-time.Duration(max(origin.Metadata.ElapsedMs, 0)) * time.Millisecond),
 		relayedBy: string(origin.From.ID), counted: origin.Metadata.Counted, service: origin.Metadata.Service,
+		atMostOnce: !origin.Metadata.Idempotent,
 	}
 	x.serve(w)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -110,9 +110,16 @@
 	return fmt.Sprintf("the keys were last proved current %v ago", e.Age)
 }
 
+// errRepeatForbidden reports that a policy that forbids to repeat the request came into force
+// while the request waited for a connection. Nothing was sent.
+var errRepeatForbidden = errors.New("the policy in force now does not allow that the request runs again")
+
 // checkSend reports whether the request may still be sent, now that it has a connection.
 func (x *exchange) checkSend(placed *placement.Placement) error {
 	now := boottime.Now()
+	if x.mayHaveRun && !x.mayRepeat() {
+		return errRepeatForbidden
+	}
 	if age, current := x.gateway.keysCurrent(now); !current && !x.route.Open {
 		return &StaleKeysError{Age: age}
 	}
@@ -121,7 +128,7 @@
 
 // assertMaySend checks the invariants that must hold when a request is sent.
 func (x *exchange) assertMaySend(placed *placement.Placement) {
-	invariant.Check(x.route.Idempotent || !x.mayHaveRun, invariant.AtMostOnce,
+	invariant.Check(!x.atMostOnce || !x.mayHaveRun, invariant.AtMostOnce,
 		"request %s is sent again though it may have run", x.call.ID)
 	invariant.Check(x.route.Open || x.account != nil, invariant.RequestAuthenticated,
 		"request %s on route %s belongs to no client account", x.call.ID, x.route.Name)
@@ -200,7 +207,7 @@
 	}
 	var withheld *placement.WithheldError
 	var stale *StaleKeysError
-	if errors.As(err, &withheld) || errors.As(err, &stale) {
+	if errors.As(err, &withheld) || errors.As(err, &stale) || errors.Is(err, errRepeatForbidden) {
 		placed.Done(placement.Report{Outcome: placement.OutcomeCancelled}, now)
 		return attemptOutcome{result: resultWithheld}
 	}
