gateway: a refusal by the policy holds for each later check of a request

Seen by callers: nothing yet; found while the policy checks between attempts were read. At a host that was cut off from the upstreams, a request whose key was withdrawn after its arrival could run without an account, and one whose route was removed got 500 for an unknown outcome in place of 404.

Cause: authorise evaluated a policy once for each request and then checked only the age of the keys. A cut-off host authorises a request before it asks other hosts, and again before it sends the request itself. The first refusal was dropped, and the second call passed over it, or dereferenced the missing route.

Change: authorise looks the route and the account up once for each policy, and decides by them each time.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -178,17 +178,15 @@
 	if table == nil {
 		return notRunProblem(problem.TypeNotReady, "no policy is in force yet").WithRetryAfter(otherHostRetryAfter)
 	}
-	if table == x.table {
-		return x.checkKeysCurrent()
+	if table != x.table {
+		x.table = table
+		x.route = table.Route(x.request.Host, x.request.URL.Path)
+		x.account = table.AccountByKey(x.call.Key)
+		x.atMostOnce = x.atMostOnce || forbidsRepeats(x.route)
 	}
-	x.table = table
-	x.route = table.Route(x.request.Host, x.request.URL.Path)
-	if x.route == nil {
-		return notRunProblem(problem.TypeNotFound, "no route matches")
-	}
-	x.account = table.AccountByKey(x.call.Key)
-	x.atMostOnce = x.atMostOnce || forbidsRepeats(x.route)
 	switch {
+	case x.route == nil:
+		return notRunProblem(problem.TypeNotFound, "no route matches")
 	case x.route.Unusable != "":
 		return unusableProblem("route " + x.route.Name + ": " + x.route.Unusable)
 	case x.account != nil && x.account.Unusable != "":
