gateway: attempts follow a policy that allows fewer

Seen by upstreams: a request was sent once more than the policy in force allowed, where a new policy with fewer attempts came into force during an attempt.

Cause: whether another attempt is left was decided by the route of the failed one, before the route was replaced by that of the policy in force.

Change: place compares the attempts with the route that it places the request for.

TestAttemptsFollowAPolicyThatAllowsFewer failed before: two upstreams received a request whose route allowed one.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -404,6 +404,9 @@
 	if rejection := x.authoriseAttempt(); rejection != nil {
 		return nil, rejection
 	}
+	if x.attempts > 0 && x.attempts >= x.route.MaxAttempts { // the policy may have changed since the last attempt
+		return nil, x.attemptsExhausted("no upstream answered")
+	}
 	now := boottime.Now()
 	placed, err := x.gateway.state.pool.Place(x.placementRequest(), now)
 	if err != nil {
