entry: a request is not repeated once a policy forbids it

Seen by callers of `serve`: a request ran at a second upstream, or at another host's, although its route did not allow it any more.

Whether a request may run twice was decided when it arrived; a policy that came into force during an attempt, or while the request waited for a place, changed nothing.

Change: before a request that may have run is sent again, mayRunAgain asks the policy in force as well, after the attempt and after the wait for a place.

TestRequestIsNotRepeatedOnceItsRouteForbidsIt (internal/entry) failed before in all three cases: the caller got 200 from the second upstream.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -48,11 +48,16 @@
 			x.refuse(w, x.dispatchProblem(x.ctx, err))
 			return
 		}
+		if x.mayHaveExecuted && !h.mayRunAgain(x, r.Method) { // it may have waited long for the permit
+			permit.Done(upstream.Outcome{Result: upstream.ResultCancelled})
+			x.refuse(w, x.sendProblem(x.ctx, failure))
+			return
+		}
 		failure = h.send(w, r, x, permit)
 		if failure == nil {
 			return
 		}
-		if attempt == maxAttempts || !x.mayRetry(x.ctx, failure) {
+		if attempt == maxAttempts || !h.mayRetry(x, r.Method) {
 			x.refuse(w, x.sendProblem(x.ctx, failure))
 			return
 		}
@@ -77,10 +82,10 @@
 
 // mayRetry reports whether a failed attempt may be followed by another one. A
 // request that was certainly not executed may be sent to another target; one that
-// may have been executed only if it is idempotent. The dispatcher can still refuse
-// the retry when its retry budget is exhausted.
-func (x *exchange) mayRetry(ctx context.Context, failure *sendFailure) bool {
-	if ctx.Err() != nil || failure.executed != problem.ExecutedNo && !x.idempotent {
+// may have been executed only if policies allow that it runs again. The dispatcher
+// can still refuse the retry when its retry budget is exhausted.
+func (h *Handler) mayRetry(x *exchange, method string) bool {
+	if x.ctx.Err() != nil || x.mayHaveExecuted && !h.mayRunAgain(x, method) {
 		return false
 	}
 	return x.payload.Rewind()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -26,7 +26,7 @@
 	open     bool   // the route is open: requests need no key
 	priority configuration.Priority
 
-	idempotent bool // executing the request twice does no harm
+	idempotent bool // executing the request twice does no harm, see mayRunAgain
 
 	key          string // the caller's key; never logged
 	digest       clientaccount.Digest
--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,7 +12,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"peridotrail/internal/configuration"
 	"peridotrail/internal/problem"
+	"peridotrail/internal/upstream"
 )
 
 // closingUpstream reads each request and closes the connection without a response.
@@ -87,6 +90,57 @@
 	}
 }
 
+// TWICE: the route stopped allowing repeats after the first upstream had run the request, and the
+// host sent it to the second one.
+func TestRequestIsNotRepeatedOnceItsRouteForbidsIt(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		waits  bool // the policy changes while the request waits for its second place
+		routes []configuration.Route
+	}{
+		{"while the first upstream runs it", false, []configuration.Route{{Service: "desk", Prefix: "/", Idempotent: new(bool)}}},
+		{"while it waits for a place", true, []configuration.Route{{Service: "desk", Prefix: "/", Idempotent: new(bool)}}},
+		{"route removed", false, nil}, // the method decides then
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var h *harness
+			var one, two, acquired atomic.Int64
+			setRoutes := func(routes []configuration.Route) {
+				h.policy.Store(&fakePolicy{keys: h.policy.Load().keys, routes: routes})
+			}
+			first := serveRaw(t, func(_ net.Conn, in *bufio.Reader) {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				one.Add(1)
+				if !c.waits {
+					setRoutes(c.routes)
+				}
+			})
+			h = newHarness(t, func(o *Options) {
+				o.Dispatcher = DispatcherFunc(func(ctx context.Context, work upstream.Work) (Permit, error) {
+					if acquired.Add(1) == 2 && c.waits {
+						setRoutes(c.routes)
+					}
+					return h.acquire(ctx, work)
+				})
+			}, first, okUpstream(t, &two))
+			allowed := true
+			setRoutes([]configuration.Route{{Service: "desk", Prefix: "/", Idempotent: &allowed}})
+			response, _ := h.do(h.request("POST", "/desk/x", "adult"))
+			require.Equal(t, http.StatusBadGateway, response.StatusCode)
+			require.Equal(t, string(problem.ExecutedUnknown), response.Header.Get(problem.ExecutedHeader))
+			require.Equal(t, int64(1), one.Load())
+			require.Zero(t, two.Load())
+			for range acquired.Load() {
+				<-h.outcomes // each place is given back
+			}
+		})
+	}
+}
+
 func TestShedRequestIsRefusedAsNotRun(t *testing.T) {
 	var seen atomic.Int64
 	h := newHarness(t, nil, sheddingUpstream(t, &seen, http.StatusTooManyRequests))
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -38,7 +38,7 @@
 		return problem.New(problem.TypeNotFound, problem.ExecutedNo, "there is no such service")
 	}
 	x.path, x.rawPath = path, rawPath
-	x.idempotent = isIdempotent(r.Method)
+	x.idempotent = idempotentUnder(x.policy, name, path, r.Method)
 	x.priority = configuration.PriorityNormal
 	route := x.policy.Route(name, path)
 	if route == nil {
@@ -54,9 +54,6 @@
 	}
 	x.prefix = route.Prefix
 	x.open = route.Open
-	if route.Idempotent != nil {
-		x.idempotent = *route.Idempotent
-	}
 	if route.Priority != "" {
 		x.priority = route.Priority
 	}
@@ -72,6 +69,23 @@
 	return service, "/" + rest
 }
 
+// idempotentUnder reports whether a policy allows that a request runs more than once.
+func idempotentUnder(policy Policy, service, path, method string) bool {
+	if route := policy.Route(service, path); route != nil && route.Idempotent != nil {
+		return *route.Idempotent
+	}
+	return isIdempotent(method)
+}
+
+// mayRunAgain reports whether a request that may have been executed may be sent to another
+// target: every policy that was in force since it arrived must allow that.
+func (h *Handler) mayRunAgain(x *exchange, method string) bool {
+	if policy := h.options.Policy(); policy != nil && x.idempotent {
+		x.idempotent = idempotentUnder(policy, x.service.Name, x.path, method)
+	}
+	return x.idempotent
+}
+
 func isIdempotent(method string) bool {
 	switch method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
