gateway: policies that were in force for a moment also forbid repeats

Seen by callers: a request ran twice where a policy that forbids that came into force and was replaced by one that allows it while the request was at its first upstream. Policies in quick succession do that.

Cause: the first fix asked the policies in force when an attempt ended or began. Those in between were not asked.

Change: each policy's rules on repeats lead to those of the next policy, so that a request is checked against every policy since it arrived.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,6 +27,7 @@
 	start   boottime.Instant // when the request arrived from the caller
 
 	table    *routing.Table
+	repeats  *routing.RepeatRules // the last ones that mayRepeat has looked at
 	route    *routing.Route
 	account  *routing.Account
 	service  string
@@ -42,7 +43,7 @@
 	counted         bool   // the request was counted for the retry budget
 	arrived         bool   // an upstream may have received the request
 	mayHaveRun      bool   // an upstream may have run the request
-	atMostOnce      bool   // a route that applied to the request since it arrived does not allow that it runs again
+	atMostOnce      bool   // a policy since the request arrived, or the host that relayed it, does not allow that it runs again
 	responseStarted bool   // part of a response may have been sent
 	responseMemory  int64  // bytes taken for buffered responses
 	lastResult      string // result of the last attempt, for the log
@@ -182,7 +183,9 @@
 		x.table = table
 		x.route = table.Route(x.request.Host, x.request.URL.Path)
 		x.account = table.AccountByKey(x.call.Key)
-		x.atMostOnce = x.atMostOnce || forbidsRepeats(x.route)
+		if x.repeats == nil {
+			x.repeats = table.RepeatRules()
+		}
 	}
 	switch {
 	case x.route == nil:
@@ -197,16 +200,12 @@
 	return x.checkKeysCurrent()
 }
 
-// forbidsRepeats reports whether a request on the route may run at most once. A request that no
-// route matches is not sent.
-func forbidsRepeats(route *routing.Route) bool { return route != nil && !route.Idempotent }
-
 // mayRepeat reports whether a request that may have run may be sent to another upstream: every
-// policy that was in force here since it arrived must allow that, also one that came into force
-// between two attempts.
+// policy that was in force here since it arrived must allow that.
 func (x *exchange) mayRepeat() bool {
-	if table := x.gateway.state.table.Load(); table != x.table {
-		x.atMostOnce = x.atMostOnce || forbidsRepeats(table.Route(x.request.Host, x.request.URL.Path))
+	for rules := x.repeats; rules != nil; rules = rules.Next() {
+		x.repeats = rules
+		x.atMostOnce = x.atMostOnce || rules.Forbids(x.request.Host, x.request.URL.Path)
 	}
 	return !x.atMostOnce
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -111,7 +111,7 @@
 }
 
 // errRepeatForbidden reports that a policy that forbids to repeat the request came into force
-// while the request waited for a connection. Nothing was sent.
+// while it waited for a connection. Nothing was sent.
 var errRepeatForbidden = errors.New("the policy in force now does not allow that the request runs again")
 
 // checkSend reports whether the request may still be sent, now that it has a connection.
@@ -128,7 +128,7 @@
 
 // assertMaySend checks the invariants that must hold when a request is sent.
 func (x *exchange) assertMaySend(placed *placement.Placement) {
-	invariant.Check(!x.atMostOnce || !x.mayHaveRun, invariant.AtMostOnce,
+	invariant.Check(!x.mayHaveRun || !x.atMostOnce, invariant.AtMostOnce,
 		"request %s is sent again though it may have run", x.call.ID)
 	invariant.Check(x.route.Open || x.account != nil, invariant.RequestAuthenticated,
 		"request %s on route %s belongs to no client account", x.call.ID, x.route.Name)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -291,7 +291,8 @@
 		_ = level.Error(s.logger).Log("event", "policy rejected", "revision", entry.Revision, "err", err)
 		return
 	}
-	if current := s.table.Load(); current != nil && document.Version <= current.Version() {
+	current := s.table.Load()
+	if current != nil && document.Version <= current.Version() {
 		_ = level.Info(s.logger).Log("event", "policy ignored", "version", document.Version, "in_force", current.Version(), "revision", entry.Revision)
 		return
 	}
@@ -299,6 +300,9 @@
 	for _, problem := range table.Problems() {
 		_ = level.Warn(s.logger).Log("event", "policy entry not applied", "version", problem.Version, "item", problem.Item, "detail", problem.Reason, "revision", entry.Revision)
 	}
+	if current != nil {
+		table.Follow(current)
+	}
 	s.onPolicy(table)
 	s.table.Store(table)
 	_ = level.Info(s.logger).Log("event", "policy in force", "version", document.Version, "revision", entry.Revision, "routes", len(document.Routes))
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -20,7 +20,7 @@
 	return fmt.Sprintf("policy version %d: %s: %s", e.Version, e.Item, e.Reason)
 }
 
-// Table is a Policy indexed for look-ups. It is immutable.
+// Table is a Policy indexed for look-ups. It is immutable once it is in force.
 type Table struct {
 	version       Version
 	routes        map[string][]*Route // by host name, longest prefix first
@@ -29,6 +29,7 @@
 	accounts      []Account
 	limits        Limits
 	problems      []PolicyError
+	repeats       *RepeatRules
 }
 
 // NewTable checks and indexes a policy. An entry that can't be applied affects no other
@@ -53,6 +54,7 @@
 	for _, routes := range t.routes {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	t.repeats = newRepeatRules(t.routes)
 	for i := range policy.Accounts {
 		for _, key := range policy.Accounts[i].Keys {
 			t.accountsByKey[sha256.Sum256([]byte(key))] = &policy.Accounts[i]
@@ -113,8 +115,7 @@
 // Route returns the route for a request, or nil if there is none. host may include
 // a port.
 func (t *Table) Route(host, path string) *Route {
-	name, _, _ := strings.Cut(host, ":")
-	for _, route := range t.routes[name] {
+	for _, route := range t.routes[hostName(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route
 		}
@@ -122,6 +123,12 @@
 	return nil
 }
 
+// hostName returns a host without its port.
+func hostName(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return name
+}
+
 // Service returns a service, or nil if it does not exist.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
