upstream: the stand-in of the probe test announces that it closes the connection

Cause: the stand-in closed each connection after a response that let the client keep it. The second request of the probe, for the load, could meet the connection while it was being closed; the transport sends nothing twice, so the load stayed unknown. The test was wrong: it asked for a load from a server that broke its word.

Change: the stand-in sends Connection: close.

--- a/internal/upstream/probe_status_test.go
+++ b/internal/upstream/probe_status_test.go
@@ -24,7 +24,7 @@
 				return
 			}
 			defer conn.Close()
-			_, _ = io.WriteString(conn, fmt.Sprintf("HTTP/1.1 %s Trouble\r\nContent-Length: 11\r\n\r\n{\"inUse\":1}", status))
+			_, _ = io.WriteString(conn, fmt.Sprintf("HTTP/1.1 %s Trouble\r\nConnection: close\r\nContent-Length: 11\r\n\r\n{\"inUse\":1}", status))
 		}))
 		defer server.Close()
 		u := configuration.Upstream{Name: "u", Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
