Log whose view handled a request, and the age of the proof when the store is lost

The operators' record shows 404 and 401 given under an older policy, but not whether the host had lost the store or followed another one, so it can't tell the hypotheses of docs/incidents/rejected-by-the-store.md apart.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -129,6 +129,9 @@
 	if x.table != nil {
 		fields = append(fields, "version", x.table.Version(), "era", x.gateway.store.Eras().Current())
 	}
+	if followed := x.gateway.replica.FollowedHost(); followed != "" {
+		fields = append(fields, "view_from", followed)
+	}
 	if x.account != nil {
 		fields = append(fields, "account", x.account.Name)
 	}
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -71,8 +71,9 @@
 		return r.leaveEra(ctx, peer, applied.Era, changes.At.Era)
 	}
 	r.recordRecovery()
-	if peer.Name != r.followedHost {
-		r.followedHost, r.followedOutages = peer.Name, changes.Outages
+	if peer.Name != r.FollowedHost() {
+		r.followedOutages = changes.Outages
+		r.followedHost.Store(&peer.Name)
 		_ = level.Info(r.options.Logger).Log("event", "following host", "peer", peer.Name, "applied", r.Applied(), "at", changes.At, "proof_age", changes.ProofAge)
 	}
 	if changes.Outages != r.followedOutages {
@@ -142,7 +143,7 @@
 	r.mu.Lock()
 	r.peers.avoid(peer.Name, r.options.Clock())
 	r.mu.Unlock()
-	r.followedHost = ""
+	r.followedHost.Store(nil)
 	_ = level.Warn(r.options.Logger).Log("event", "host not followed", "peer", peer.Name, "applied", r.Applied(), "proof_age", r.options.Clock().Sub(r.Proof()), "err", err)
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -85,9 +85,8 @@
 	watchNow chan struct{} // ends the pause between two watches
 	proveNow chan struct{} // ends the pause between two proofs
 
-	// followedHost and followedOutages are used only by the goroutine running follow.
-	followedHost    string // name of the followed host; empty while following the store
-	followedOutages uint64 // last Changes.Outages from the followed host
+	followedHost    atomic.Pointer[string] // name of the followed host; nil while following the store
+	followedOutages uint64                 // last Changes.Outages from the followed host; used only by the goroutine running follow
 
 	mu          sync.Mutex // guards the fields below
 	cancelWatch context.CancelFunc
@@ -117,6 +116,15 @@
 	return r.applied
 }
 
+// FollowedHost returns the name of the host from which the latest changes came, empty if they
+// came from the store. It is safe for concurrent use.
+func (r *Replica) FollowedHost() string {
+	if name := r.followedHost.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
 // Run keeps the view up to date until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	var wait sync.WaitGroup
@@ -196,6 +204,7 @@
 	r.setCancelWatch(cancel)
 	defer cancel()
 	sent := r.options.Clock()
+	r.followedHost.Store(nil)
 	entries, at, err := r.options.Feed.Watch(watch, "", r.Applied(), watchWait)
 	if err != nil {
 		restarted := errors.Is(watch.Err(), context.Canceled) // by restartWatch; not a failure of the store
@@ -372,7 +381,7 @@
 		return
 	}
 	if !r.storeLost.Swap(true) {
-		_ = level.Warn(r.options.Logger).Log("event", "store lost", "err", err, "applied", r.Applied())
+		_ = level.Warn(r.options.Logger).Log("event", "store lost", "err", err, "applied", r.Applied(), "proof_age", r.options.Clock().Sub(r.Proof()))
 		r.options.Handler.StoreLost(err)
 	}
 }
