--- a/internal/replica/follow_test.go
+++ b/internal/replica/follow_test.go
@@ -330,7 +330,7 @@
 
 func TestHistory(t *testing.T) {
 	var h history
-	h.reset(kvstore.Revision{Number: 10})
+	h.load(nil, kvstore.Revision{Number: 10}, kvstore.Revision{})
 	h.add([]kvstore.Entry{{Key: "a"}, {Key: "b"}}, kvstore.Revision{Number: 12})
 	h.add([]kvstore.Entry{{Key: "c"}}, kvstore.Revision{Number: 13})
 	tests := []struct {
@@ -356,9 +356,29 @@
 	}
 }
 
+// When the history of the store ended, a host that had read all entries again had no changes for
+// hosts that followed it, and those that the store rejected could not read them.
+func TestHistoryContinuesOverASnapshot(t *testing.T) {
+	revision := func(n uint64) kvstore.Revision { return kvstore.Revision{Era: 2, Number: n} }
+	entry := func(key string, n uint64) kvstore.Entry { return kvstore.Entry{Key: key, Revision: revision(n)} }
+	var h history
+	h.load([]kvstore.Entry{entry("kept", 3), entry("gone", 4)}, revision(5), kvstore.Revision{})
+	h.add([]kvstore.Entry{entry("changed", 6)}, revision(6))
+	h.load([]kvstore.Entry{entry("kept", 3), entry("changed", 8), entry("new", 9)}, revision(9), revision(6))
+	changes, ok := h.since(revision(6))
+	require.True(t, ok)
+	require.ElementsMatch(t, []kvstore.Entry{entry("changed", 8), entry("new", 9), {Key: "gone"}}, changes)
+	h.load(nil, revision(7), revision(9))
+	_, ok = h.since(revision(6))
+	require.False(t, ok, "the store is at an older revision")
+	h.load(nil, kvstore.Revision{Era: 3, Number: 8}, revision(7))
+	_, ok = h.since(revision(7))
+	require.False(t, ok, "revisions of two eras can't be compared")
+}
+
 func TestHistoryIsBounded(t *testing.T) {
 	var h history
-	h.reset(kvstore.Revision{Number: 1})
+	h.load(nil, kvstore.Revision{Number: 1}, kvstore.Revision{})
 	for n := uint64(2); n < 2+2*maxHistoryEntries; n++ {
 		at := kvstore.Revision{Number: n}
 		h.add([]kvstore.Entry{{Key: "k", Revision: at}}, at)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -248,7 +248,7 @@
 	if r.applied.Before(at) && r.applied.Era == at.Era {
 		sent = max(sent, r.Proof())
 	}
-	r.history.reset(at)
+	r.history.load(entries, at, r.applied)
 	r.setApplied(at) // even if it is lower than before: the view is what the snapshot had
 	r.provedAt.Store(int64(sent))
 	return nil
