replica: a host that the store rejects follows any host that it serves

Callers of a host that the store rejects (connections reset, no response, 503, 429) while it serves others got 404 and 401 under an older policy, or were sent to a former service: such a host could follow only hosts of its failure domain with a lower name, so the first of a domain, and all hosts of a rejected domain, had no source.

A host that doubts that it reaches the store asks up to four hosts of its domain and four others for newer proofs, follows the first that has one, and asks the store for changes once a second. A response names the host that read the view from the store, so that hosts do not prove each other's views.

--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -31,6 +31,10 @@
 // their revisions are those of a store that names no eras.
 const eraHeader = "Peridotrail-Era"
 
+// originHeader is the header of a response with the name of the host that read the changes from the
+// store. Hosts of earlier builds do not send it.
+const originHeader = "Peridotrail-Origin"
+
 const (
 	// maxWait limits how long a request may wait for a change.
 	maxWait = 5 * time.Second
@@ -101,6 +105,9 @@
 			return
 		}
 		w.Header().Set(eraHeader, strconv.FormatUint(uint64(changes.At.Era), 10))
+		if changes.Origin != "" {
+			w.Header().Set(originHeader, changes.Origin)
+		}
 		if err := cbor.NewEncoder(w).Encode(newChangesResponse(changes)); err != nil {
 			_ = level.Debug(logger).Log("event", "changes not sent", "peer", r.RemoteAddr, "err", err)
 		}
@@ -217,5 +224,7 @@
 	if body.ProofAge < 0 {
 		return fail(kvstore.KindInvalid, errors.New("the proof age is negative"))
 	}
-	return body.decode(era), nil
+	changes := body.decode(era)
+	changes.Origin = response.Header.Get(originHeader)
+	return changes, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,7 +189,7 @@
 		self.RelayAddress, self.RelayAuthority = settings.ListenRelays, g.relays.authority()
 	}
 	registration.Run(ctx, registration.Options{
-		Store:    g.store,
+		Store:    observedRegistrar{g.store, g.replica},
 		Host:     self,
 		Logger:   g.logger,
 		TTL:      settings.leaseTTL(),
@@ -205,6 +205,18 @@
 	})
 }
 
+// observedRegistrar lets the replica know whether the store responds to renewals. They are the most
+// frequent calls of a host that follows another one.
+type observedRegistrar struct {
+	kvstore.Registrar
+	replica *replica.Replica
+}
+
+// Renew implements kvstore.Registrar.
+func (o observedRegistrar) Renew(ctx context.Context, id kvstore.LeaseID) error {
+	return o.replica.ObserveCall(func() error { return o.Registrar.Renew(ctx, id) })
+}
+
 // claimShares claims and gives up shares of the limits of cold upstreams until ctx
 // ends.
 func (g *Gateway) claimShares(ctx context.Context) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -49,7 +49,8 @@
 		if loadExchange != nil {
 			loadExchange.SetPeers(loadPeersOf(hosts, *settings))
 		}
-		g.replica.SetPeers(settings.Host, domainPeersOf(hosts, *settings))
+		domain, others := replicaPeersOf(hosts, *settings)
+		g.replica.SetPeers(settings.Host, domain, others)
 		if g.relays != nil {
 			g.relays.setHosts(hosts, settings.Host)
 		}
--- a/internal/replica/changes.go
+++ b/internal/replica/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"peridotrail/internal/boottime"
@@ -12,27 +13,37 @@
 type Changes struct {
 	Entries []kvstore.Entry // in revision order; the follower may already have some of them
 	At      kvstore.Revision
-	// ProofAge is the age, when the response was made, of the last proof that the
-	// view at revision At is current.
+	// ProofAge is the age, when the request arrived, of the last proof that the view at
+	// revision At is current; zero if the view was proved since.
 	ProofAge time.Duration
 	// Outages counts the outages of the store whose end this replica has seen.
 	Outages uint64
+	// Origin is the name of the host that read the view from the store, empty if the response is
+	// of an earlier build.
+	Origin string
 }
 
+// ErrCutOff reports that the requested host reaches neither the store nor a host that does.
+var ErrCutOff = errors.New("this host reaches neither the store nor a host that does")
+
 // followerTimeout is how long after the last request for changes a replica assumes
 // that it still has followers.
 const followerTimeout = 2 * time.Second
 
-// Changes returns the changes after a revision. If there is none, it waits for one
-// until wait has passed or ctx ends. If the view is of a newer era than the revision, it
+// Changes returns the changes after a revision. If there is none, it waits for one or for
+// a newer proof until wait has passed or ctx ends. If the view is of a newer era than the revision, it
 // returns no changes and the revision of the view. It fails with KindCompacted if the
 // history no longer covers the revision, which includes revisions without an era of a store
-// that names eras, and with KindUnavailable before the first snapshot and while the view is
-// of an older era. It is safe for concurrent use.
+// that names eras, and with KindUnavailable before the first snapshot, while the view is
+// of an older era and while this host is cut off. It is safe for concurrent use.
 func (r *Replica) Changes(ctx context.Context, after kvstore.Revision, wait time.Duration) (Changes, error) {
-	now := r.options.Clock()
-	firstFollower := !r.hasFollowers(now)
-	r.lastRequestAt.Store(int64(now))
+	cutOff := &kvstore.Error{Kind: kvstore.KindUnavailable, Op: "changes", Err: ErrCutOff}
+	if r.cutOff.Load() {
+		return Changes{}, cutOff
+	}
+	arrived, proof := r.options.Clock(), r.Proof()
+	firstFollower := !r.hasFollowers(arrived)
+	r.lastRequestAt.Store(int64(arrived))
 	if firstFollower {
 		signal(r.proveNow)
 	}
@@ -50,7 +61,10 @@
 		r.mu.Lock()
 		advanced, applied := r.advanced, r.applied
 		r.mu.Unlock()
-		if after.Before(applied) {
+		if r.cutOff.Load() {
+			return Changes{}, cutOff
+		}
+		if after.Before(applied) || r.Proof() > proof {
 			break
 		}
 		select {
@@ -61,15 +75,15 @@
 		}
 		break
 	}
-	return r.changesSince(after)
+	return r.changesSince(after, arrived)
 }
 
-// changesSince returns the changes after a revision, with the proof of the same view.
-// Outages includes every outage that ended before one of the changes.
-func (r *Replica) changesSince(after kvstore.Revision) (Changes, error) {
+// changesSince returns the changes after a revision to a request that arrived at an instant, with
+// the proof of the same view. Outages includes every outage that ended before one of the changes.
+func (r *Replica) changesSince(after kvstore.Revision, arrived boottime.Instant) (Changes, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changes := Changes{At: r.applied, ProofAge: r.options.Clock().Sub(r.Proof()), Outages: r.endedOutages.Load()}
+	changes := Changes{At: r.applied, ProofAge: max(0, arrived.Sub(r.Proof())), Outages: r.endedOutages.Load(), Origin: r.origin}
 	switch {
 	case r.applied.Era < after.Era:
 		return Changes{}, &kvstore.Error{Kind: kvstore.KindUnavailable, Op: "changes", Err: &EraMismatchError{Followed: r.applied.Era, Own: after.Era}}
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -39,12 +41,29 @@
 	return fmt.Sprintf("the last proof that the view is current is %v old", e.Age.Round(time.Millisecond))
 }
 
-// SetPeers sets the other hosts of the failure domain. One of them may be followed
-// instead of the store. It is safe for concurrent use.
-func (r *Replica) SetPeers(self string, peers []Peer) {
+// NoResponseError reports that a host did not respond to a request in time.
+type NoResponseError struct{ Err error }
+
+// Error implements error.
+func (e *NoResponseError) Error() string { return fmt.Sprintf("no response in time: %v", e.Err) }
+
+// Unwrap returns the failure of the request.
+func (e *NoResponseError) Unwrap() error { return e.Err }
+
+// SetPeers sets the other hosts of the failure domain, one of which may be followed instead of
+// the store, and those of other failure domains, which are followed only while the store can't be
+// reached. It is safe for concurrent use.
+func (r *Replica) SetPeers(self string, domain, others []Peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peers.setPeers(self, domain, others)
+}
+
+// followsSubstitute reports whether this host follows a substitute for the store.
+func (r *Replica) followsSubstitute() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.peers.setPeers(self, peers)
+	return r.peers.hasSubstitute()
 }
 
 // hostToFollow returns the host to follow now. It reports false if this host follows
@@ -55,14 +74,14 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.peers.hostToFollow(r.options.Clock())
+	return r.peers.hostToFollow(r.options.Clock(), r.storeDoubted.Load())
 }
 
 // followHost applies the next changes from another host. If that host does not
 // respond in time or is not current itself, it returns the error and skips the host
 // for avoidDuration.
 func (r *Replica) followHost(ctx context.Context, peer Peer) error {
-	changes, sent, err := r.requestChanges(ctx, peer)
+	changes, sent, err := r.requestChanges(ctx, peer, r.Applied(), fractionOf(r.options.MaxDelay, requestWaitFraction))
 	if err != nil {
 		r.stopFollowing(peer, err)
 		return err
@@ -70,6 +89,11 @@
 	if applied := r.Applied(); changes.At.Era != applied.Era {
 		return r.leaveEra(ctx, peer, applied.Era, changes.At.Era)
 	}
+	if r.isOwnView(changes) {
+		err := &kvstore.Error{Kind: kvstore.KindUnavailable, Op: "changes", Key: peer.Name, Err: ErrOwnView}
+		r.stopFollowing(peer, err)
+		return err
+	}
 	r.recordRecovery()
 	if peer.Name != r.FollowedHost() {
 		r.followedOutages = changes.Outages
@@ -80,11 +104,21 @@
 		r.followedOutages = changes.Outages
 		r.options.Handler.StoreRegained() // entries may have expired during the outage
 	}
-	r.applyChanges(changes.Entries, changes.At)
-	r.recordProof(sent.Add(-changes.ProofAge), changes.At)
+	r.applyChanges(changes.Entries, changes.At, sent.Add(-changes.ProofAge), cmp.Or(changes.Origin, peer.Name))
 	return nil
 }
 
+// ErrOwnView reports that the view of a followed host comes from the host that follows it.
+var ErrOwnView = errors.New("the followed host has its view from this one")
+
+// isOwnView reports whether changes come from this host by way of others. Hosts that follow each
+// other would get no changes and no new proofs.
+func (r *Replica) isOwnView(changes Changes) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return changes.Origin != "" && changes.Origin == r.peers.self
+}
+
 // leaveEra handles changes of another era than that of the view. If they are of a newer one,
 // one call to the store shows whether this is so; a host's word is not enough. Older ones
 // are of a host that has not learned of the era yet, or of an earlier build.
@@ -99,12 +133,13 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sent := r.options.Clock()
 	_, err := r.options.Feed.Current(call)
 	if err != nil || r.options.Feed.Eras().Current() == own {
 		if err == nil {
 			err = &kvstore.Error{Kind: kvstore.KindEraEnded, Op: "changes", Key: peer.Name, Err: &EraMismatchError{Followed: followed, Own: own}}
 		}
-		r.recordFailure(err)
+		r.recordFailure(err, sent)
 		r.stopFollowing(peer, err)
 		return err
 	}
@@ -119,16 +154,19 @@
 	return fmt.Sprintf("the followed host is in era %v of the store, this one in era %v", e.Followed, e.Own)
 }
 
-// requestChanges sends one request and checks the age of the returned proof. The
-// proof precedes the response by ProofAge. Counting ProofAge back from the sending of
-// the request gives an earlier instant, which is safe to use as the proof.
-func (r *Replica) requestChanges(ctx context.Context, peer Peer) (Changes, boottime.Instant, error) {
-	wait := fractionOf(r.options.MaxDelay, requestWaitFraction)
-	ctx, cancel := context.WithTimeout(ctx, 2*wait)
+// requestChanges sends one request for the changes after a revision, which waits for them up to
+// the given time, and checks the age of the returned proof. The proof precedes the arrival of the
+// request by ProofAge at most. Counting ProofAge back from the sending of the request gives an
+// earlier instant, which is safe to use as the proof.
+func (r *Replica) requestChanges(ctx context.Context, peer Peer, after kvstore.Revision, wait time.Duration) (Changes, boottime.Instant, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+fractionOf(r.options.MaxDelay, requestWaitFraction))
 	defer cancel()
 	sent := r.options.Clock()
-	changes, err := r.options.Source.Changes(ctx, peer, r.Applied(), wait)
+	changes, err := r.options.Source.Changes(ctx, peer, after, wait)
 	if err != nil {
+		if ctx.Err() != nil {
+			err = &NoResponseError{Err: err}
+		}
 		return Changes{}, 0, err
 	}
 	if age := r.options.Clock().Sub(sent.Add(-changes.ProofAge)); age > fractionOf(r.options.MaxDelay, staleProofFraction) {
@@ -138,13 +176,20 @@
 }
 
 // stopFollowing skips a host for avoidDuration and records that this host no longer
-// follows it.
+// follows it. A call shows at once whether the store responds.
 func (r *Replica) stopFollowing(peer Peer, err error) {
+	var noResponse *NoResponseError
 	r.mu.Lock()
-	r.peers.avoid(peer.Name, r.options.Clock())
+	r.peers.avoid(peer.Name, r.options.Clock(), !errors.As(err, &noResponse))
 	r.mu.Unlock()
 	r.followedHost.Store(nil)
 	_ = level.Warn(r.options.Logger).Log("event", "host not followed", "peer", peer.Name, "applied", r.Applied(), "proof_age", r.options.Clock().Sub(r.Proof()), "err", err)
+	if r.storeDoubted.Load() {
+		signal(r.searchNow)
+		return
+	}
+	r.proveAtOnce.Store(true)
+	signal(r.proveNow)
 }
 
 func fractionOf(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,6 +9,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -78,20 +79,26 @@
 
 	provedAt      atomic.Int64 // boottime.Instant at which the view was last proved current; written with mu held
 	storeLost     atomic.Bool
+	storeDoubted  atomic.Bool   // a call to the store failed or was slow since one for changes or a proof succeeded; written with mu held
+	cutOff        atomic.Bool   // this host reaches neither the store nor a substitute
 	endedOutages  atomic.Uint64 // number of outages of the store that have ended
 	lastRequestAt atomic.Int64  // boottime.Instant of the last request from another replica
 	proveAtOnce   atomic.Bool   // the next proof does not wait until it is due
 
-	watchNow chan struct{} // ends the pause between two watches
-	proveNow chan struct{} // ends the pause between two proofs
+	watchNow  chan struct{} // ends the pause between two watches
+	proveNow  chan struct{} // ends the pause between two proofs
+	searchNow chan struct{} // ends the wait for the need of a substitute
 
 	followedHost    atomic.Pointer[string] // name of the followed host; nil while following the store
 	followedOutages uint64                 // last Changes.Outages from the followed host; used only by the goroutine running follow
-
-	mu          sync.Mutex // guards the fields below
-	cancelWatch context.CancelFunc
-	applied     kvstore.Revision // the view contains all changes up to it; zero before the first snapshot
-	advanced    chan struct{}    // closed and replaced when applied changes
+	provingSince    boottime.Instant       // when the last call of keepProved was sent; used only by the goroutine running it
+
+	mu          sync.Mutex         // guards the fields below
+	cancelWatch context.CancelFunc // nil unless a watch is in progress
+	applied     kvstore.Revision   // the view contains all changes up to it; zero before the first snapshot
+	advanced    chan struct{}      // closed and replaced when applied or the proof changes
+	respondedTo boottime.Instant   // when the last call was sent that the store responded to
+	origin      string             // name of the host that read the view from the store, empty before this host knows its name
 	history     history
 	peers       peerSelector
 }
@@ -101,13 +108,39 @@
 	if options.Clock == nil {
 		options.Clock = boottime.Now
 	}
-	return &Replica{options: options, advanced: make(chan struct{}), watchNow: make(chan struct{}, 1), proveNow: make(chan struct{}, 1)}
+	return &Replica{options: options, advanced: make(chan struct{}), watchNow: make(chan struct{}, 1), proveNow: make(chan struct{}, 1), searchNow: make(chan struct{}, 1)}
 }
 
 // Proof returns the last instant at which the view is known to have been current,
 // zero if there is none. It is safe for concurrent use.
 func (r *Replica) Proof() boottime.Instant { return boottime.Instant(r.provedAt.Load()) }
 
+// AwaitProof asks the store for a proof and waits until the view is proved to have been current
+// at an instant. It reports false when ctx ends, and at once if the store is known not to
+// respond. It is safe for concurrent use.
+func (r *Replica) AwaitProof(ctx context.Context, at boottime.Instant) bool {
+	for asked := false; ; {
+		r.mu.Lock()
+		advanced := r.advanced
+		r.mu.Unlock()
+		switch {
+		case r.Proof() >= at:
+			return true
+		case r.storeDoubted.Load() || ctx.Err() != nil:
+			return false
+		}
+		if !asked {
+			asked = true
+			r.proveAtOnce.Store(true)
+			signal(r.proveNow)
+		}
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // Applied returns the revision up to which the view contains all changes, zero before the
 // first snapshot. It is safe for concurrent use.
 func (r *Replica) Applied() kvstore.Revision {
@@ -128,8 +161,11 @@
 // Run keeps the view up to date until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	var wait sync.WaitGroup
-	wait.Go(func() { r.prove(ctx) })
+	wait.Go(func() { r.keepProved(ctx) })
 	wait.Go(func() { r.observeEras(ctx) })
+	if r.options.Source != nil {
+		wait.Go(func() { r.searchSubstitutes(ctx) })
+	}
 	r.follow(ctx)
 	wait.Wait()
 }
@@ -159,28 +195,37 @@
 	loaded := false
 	for ctx.Err() == nil {
 		loaded = loaded && r.Applied().Era == r.options.Feed.Eras().Current()
-		if peer, ok := r.hostToFollow(); ok && loaded && r.followHost(ctx, peer) == nil {
+		if peer, ok := r.hostToFollow(); ok && loaded {
+			if r.followHost(ctx, peer) == nil || r.storeDoubted.Load() && r.followsSubstitute() {
+				continue
+			}
+		}
+		if r.storeDoubted.Load() && loaded && r.options.Source != nil {
+			// keepProved finds out when the store responds again.
+			signal(r.searchNow)
+			signal(r.proveNow)
+			r.pauseFollowing(ctx, maxRetryPause)
 			continue
 		}
 		err := r.followStore(ctx, &loaded)
 		switch {
 		case err == nil:
 			backoff = minRetryPause
-			r.pauseForBatch(ctx)
+			r.pauseFollowing(ctx, r.options.BatchPause)
 		case kvstore.IsKind(err, kvstore.KindCompacted):
 			loaded = false
 			_ = level.Warn(r.options.Logger).Log("event", "store history lost", "applied", r.Applied(), "err", err)
 		default:
-			pause(ctx, backoff/2+rand.N(backoff))
+			r.pauseFollowing(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxRetryPause)
 		}
 	}
 }
 
-// pauseForBatch waits BatchPause before the next watch. It returns early if a proof
-// is waiting for changes.
-func (r *Replica) pauseForBatch(ctx context.Context) {
-	timer := time.NewTimer(r.options.BatchPause)
+// pauseFollowing waits before changes are read again. It returns early if a proof is waiting for
+// changes or a substitute was found.
+func (r *Replica) pauseFollowing(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -194,7 +239,7 @@
 func (r *Replica) followStore(ctx context.Context, loaded *bool) error {
 	if !*loaded {
 		if err := r.loadSnapshot(ctx); err != nil {
-			r.recordFailure(err)
+			r.recordFailure(err, r.options.Clock())
 			return err
 		}
 		*loaded = true
@@ -202,33 +247,41 @@
 	}
 	watch, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	r.setCancelWatch(cancel)
+	defer r.setCancelWatch(nil)
 	defer cancel()
-	sent := r.options.Clock()
+	if r.followsSubstitute() {
+		return context.Canceled // it was found since the choice of the source
+	}
 	r.followedHost.Store(nil)
+	sent := r.options.Clock()
 	entries, at, err := r.options.Feed.Watch(watch, "", r.Applied(), watchWait)
 	if err != nil {
 		restarted := errors.Is(watch.Err(), context.Canceled) // by restartWatch; not a failure of the store
 		if !restarted && !kvstore.IsKind(err, kvstore.KindCompacted) {
-			r.recordFailure(err)
+			r.recordFailure(err, r.options.Clock()) // the connection has failed now
 		}
 		return err
 	}
+	r.trustStore(sent)
 	r.recordRecovery() // before the changes: entries may have expired during the outage
-	r.applyChanges(entries, at)
-	r.recordProof(sent, at)
+	r.applyChanges(entries, at, sent, "")
 	return nil
 }
 
 // applyChanges passes changes to the handler and keeps them for the hosts that follow
-// this one. They are of the era of the view.
-func (r *Replica) applyChanges(entries []kvstore.Entry, at kvstore.Revision) {
+// this one. They are of the era of the view and were current at the instant proved. origin is the
+// host that read them from the store, empty for this one.
+func (r *Replica) applyChanges(entries []kvstore.Entry, at kvstore.Revision, proved boottime.Instant, origin string) {
 	if len(entries) > 0 {
 		r.options.Handler.Apply(entries)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.history.add(entries, at)
-	r.setApplied(kvstore.Latest(r.applied, at))
+	r.applied = kvstore.Latest(r.applied, at)
+	r.origin = cmp.Or(origin, r.peers.self)
+	r.prove(proved, at)
+	r.announce()
 }
 
 func (r *Replica) loadSnapshot(ctx context.Context) error {
@@ -240,6 +293,7 @@
 		return err
 	}
 	_ = level.Info(r.options.Logger).Log("event", "snapshot read", "at", at, "applied", r.Applied(), "entries", len(entries), "era", at.Era)
+	r.trustStore(sent)
 	recovered := r.storeLost.Load()
 	r.recordRecovery()
 	r.options.Handler.Reset(entries, at, recovered)
@@ -249,25 +303,26 @@
 		sent = max(sent, r.Proof())
 	}
 	r.history.load(entries, at, r.applied)
-	r.setApplied(at) // even if it is lower than before: the view is what the snapshot had
+	r.origin = r.peers.self
+	r.applied = at // even if it is lower than before: the view is what the snapshot had
 	r.provedAt.Store(int64(sent))
+	r.announce()
 	return nil
 }
 
-// setApplied records that the view contains all changes up to a revision. The caller
-// holds mu.
-func (r *Replica) setApplied(at kvstore.Revision) {
-	r.applied = at
+// announce wakes those who wait for changes or for a proof. The caller holds mu.
+func (r *Replica) announce() {
 	close(r.advanced)
 	r.advanced = make(chan struct{})
 }
 
-// prove asks for the store's current revision whenever the last proof is older than
+// keepProved asks for the store's current revision whenever the last proof is older than
 // the proof interval. The view was current when the call was sent if it contains all
-// changes up to the returned revision. Successful watches are proofs as well.
-func (r *Replica) prove(ctx context.Context) {
+// changes up to the returned revision. Successful watches are proofs as well. While this host
+// follows a substitute, whose proofs it has, it only asks whether the store responds again.
+func (r *Replica) keepProved(ctx context.Context) {
 	for ctx.Err() == nil {
-		due := r.Proof().Add(r.proofInterval())
+		due := r.nextProof()
 		if wait := due.Sub(r.options.Clock()); wait > 0 && !r.Applied().IsZero() && !r.proveAtOnce.Swap(false) {
 			r.awaitProofDue(ctx, wait)
 			continue
@@ -278,6 +333,19 @@
 	}
 }
 
+// nextProof returns when the store is asked next.
+func (r *Replica) nextProof() boottime.Instant {
+	if r.storeDoubted.Load() && r.options.Source != nil {
+		if r.followsSubstitute() {
+			return r.provingSince.Add(storeRetryInterval)
+		}
+		if _, ok := r.hostToFollow(); !ok {
+			return r.provingSince.Add(maxRetryPause)
+		}
+	}
+	return r.Proof().Add(r.proofInterval())
+}
+
 // awaitProofDue waits for the given time or until another host starts to follow this
 // one.
 func (r *Replica) awaitProofDue(ctx context.Context, wait time.Duration) {
@@ -291,9 +359,9 @@
 }
 
 // proofInterval returns the time between two proofs. It is shorter while other hosts
-// follow this one.
+// follow this one, unless this one has its proofs from another host, too.
 func (r *Replica) proofInterval() time.Duration {
-	if r.hasFollowers(r.options.Clock()) {
+	if r.hasFollowers(r.options.Clock()) && r.FollowedHost() == "" {
 		return min(r.options.ProofInterval, fractionOf(r.options.MaxDelay, followedProofFraction))
 	}
 	return r.options.ProofInterval
@@ -306,16 +374,23 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := r.options.Clock()
-	at, err := r.options.Feed.Current(call)
+	r.provingSince = sent
+	slow := r.doubtLater(sent)
+	at, err := r.storeRevision(call)
+	slow.Stop()
 	if err != nil {
-		r.recordFailure(err)
+		r.recordFailure(err, sent)
 		return false
 	}
+	r.trustStore(sent)
 	if r.storeLost.Load() {
 		r.restartWatch()
 	}
 	if !r.awaitApplied(ctx, at) {
 		r.restartWatch()
+		if r.needsSubstitute() {
+			return false // the next call to the store lets this host follow it again
+		}
 		if !r.awaitApplied(ctx, at) {
 			return false
 		}
@@ -325,11 +400,28 @@
 	return true
 }
 
-// awaitApplied waits until the view contains all changes up to a revision. It reports
-// false on a timeout or when ctx ends.
+// storeRevision returns the current revision of the store. A host that follows a substitute asks for
+// changes: a store that names its revision, but sends no changes, is not to be followed.
+func (r *Replica) storeRevision(ctx context.Context) (kvstore.Revision, error) {
+	if r.followsSubstitute() {
+		_, at, err := r.options.Feed.Watch(ctx, "", r.Applied(), 0)
+		if !kvstore.IsKind(err, kvstore.KindCompacted) {
+			return at, err
+		}
+	}
+	return r.options.Feed.Current(ctx)
+}
+
+// awaitApplied waits until the view contains all changes up to a revision. If the store is slow to send
+// them, another host is looked for: the store may have stopped responding since it named the revision.
+// It reports false on a timeout, when ctx ends, and when no changes are being waited for.
 func (r *Replica) awaitApplied(ctx context.Context, at kvstore.Revision) bool {
 	timer := time.NewTimer(r.options.BatchPause + catchUpTimeout)
 	defer timer.Stop()
+	var slow <-chan time.Time
+	if r.options.Source != nil {
+		slow = time.After(fractionOf(r.options.MaxDelay, slowCallFraction))
+	}
 	for {
 		r.mu.Lock()
 		advanced, applied := r.advanced, r.applied
@@ -340,6 +432,11 @@
 		signal(r.watchNow)
 		select {
 		case <-advanced:
+		case <-slow:
+			r.doubtStore(r.options.Clock())
+			if r.needsSubstitute() && !r.watching() {
+				return false
+			}
 		case <-timer.C:
 			return false
 		case <-ctx.Done():
@@ -354,32 +451,56 @@
 func (r *Replica) recordProof(sent boottime.Instant, at kvstore.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.applied.Era == at.Era && !r.applied.Before(at) {
-		r.provedAt.Store(max(r.provedAt.Load(), int64(sent)))
+	if r.prove(sent, at) {
+		r.announce()
 	}
 }
 
+// prove is recordProof for a caller that holds mu. It reports whether the proof is newer than the
+// last one.
+func (r *Replica) prove(sent boottime.Instant, at kvstore.Revision) bool {
+	if r.applied.Era != at.Era || r.applied.Before(at) || sent <= r.Proof() {
+		return false
+	}
+	r.provedAt.Store(int64(sent))
+	return true
+}
+
 func (r *Replica) setCancelWatch(cancel context.CancelFunc) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cancelWatch = cancel
 }
 
-// restartWatch cancels the current watch, whose connection may be dead.
-func (r *Replica) restartWatch() {
+// watching reports whether a watch is in progress.
+func (r *Replica) watching() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cancelWatch != nil {
-		r.cancelWatch()
+	return r.cancelWatch != nil
+}
+
+// restartWatch cancels the current watch, whose connection may be dead. It reports whether there is one.
+func (r *Replica) restartWatch() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancelWatch == nil {
+		return false
 	}
+	r.cancelWatch()
+	r.cancelWatch = nil
+	return true
 }
 
-// recordFailure records that the store could not be reached. A response of an older era
-// is no such failure.
-func (r *Replica) recordFailure(err error) {
+// recordFailure records that the store could not be reached by a call that was sent at an instant. A
+// response of an older era is no such failure.
+func (r *Replica) recordFailure(err error, sent boottime.Instant) {
 	if kvstore.IsKind(err, kvstore.KindEraEnded) {
 		return
 	}
+	r.doubtStore(sent)
+	if r.followsSubstitute() {
+		return // the view does not depend on the store's responses to this host
+	}
 	if !r.storeLost.Swap(true) {
 		_ = level.Warn(r.options.Logger).Log("event", "store lost", "err", err, "applied", r.Applied(), "proof_age", r.options.Clock().Sub(r.Proof()))
 		r.options.Handler.StoreLost(err)
