gateway: 404 and 401 only under a policy that was proved current

Callers do not repeat a request after 404 or 401. A host gave them before it looked at the age of its proof, also when it had been cut off for any time or knew that another host had a newer policy. They are given now only if the policy was proved current within its delay, and no host is known to have a newer one; otherwise the answer is 503 with a short Retry-After. If the proof is old because nothing needed one, the request waits up to 0.25 s for a new one. Requests that the last policy allows are served as before.

TestRoutesAndKeysAreRefusedForGoodOnlyByACurrentPolicy fails on the code before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -26,15 +26,16 @@
 	call    Call
 	start   boottime.Instant // when the request arrived from the caller
 
-	table    *routing.Table
-	repeats  *routing.RepeatRules // the last ones that mayRepeat has looked at
-	route    *routing.Route
-	account  *routing.Account
-	service  string
-	payload  *forward.Payload
-	header   http.Header // end-to-end headers of the request
-	target   url.URL     // of the request to an upstream, without the host
-	deadline boottime.Instant
+	table        *routing.Table
+	repeats      *routing.RepeatRules // the last ones that mayRepeat has looked at
+	proofAwaited bool                 // the request has waited for a proof that the policy is current
+	route        *routing.Route
+	account      *routing.Account
+	service      string
+	payload      *forward.Payload
+	header       http.Header // end-to-end headers of the request
+	target       url.URL     // of the request to an upstream, without the host
+	deadline     boottime.Instant
 
 	lastPlacement   *placement.Placement // nil before the first attempt
 	triedUpstreams  []string             // IDs
@@ -172,9 +173,11 @@
 }
 
 // authorise looks up the route and the client account in the policy in force now,
-// and checks that keys are current.
+// and checks that keys are current. A route or key that the policy does not have is refused for
+// good only if the policy is known to be current: a newer one may have it.
 func (x *exchange) authorise() *problem.Problem {
 	g := x.gateway
+	proof := g.replica.Proof() // before the policy is read, which may become newer meanwhile
 	table := g.state.table.Load()
 	if table == nil {
 		return notRunProblem(problem.TypeNotReady, "no policy is in force yet").WithRetryAfter(otherHostRetryAfter)
@@ -189,17 +192,49 @@
 	}
 	switch {
 	case x.route == nil:
-		return notRunProblem(problem.TypeNotFound, "no route matches")
+		return x.refuseForGood(problem.TypeNotFound, "no route matches", proof)
 	case x.route.Unusable != "":
 		return unusableProblem("route " + x.route.Name + ": " + x.route.Unusable)
 	case x.account != nil && x.account.Unusable != "":
 		return unusableProblem("client account " + x.account.Name + ": " + x.account.Unusable)
 	case x.account == nil && !x.route.Open:
-		return notRunProblem(problem.TypeUnauthenticated, "the key is unknown")
+		return x.refuseForGood(problem.TypeUnauthenticated, "the key is unknown", proof)
 	}
 	return x.checkKeysCurrent()
 }
 
+// refuseForGood returns the problem for a request that the policy in force does not allow. Callers
+// don't send such a request again. While a newer policy may be in force at other hosts, it is
+// refused for the moment only. proof is the instant at which the view was last proved current
+// before the policy was read.
+func (x *exchange) refuseForGood(t problem.Type, detail string, proof boottime.Instant) *problem.Problem {
+	now := boottime.Now()
+	reason := x.gateway.state.keysOutdated(now)
+	if age := now.Sub(proof); reason == "" && age > x.gateway.settings.get().PolicyDelay {
+		if !x.proofAwaited && x.awaitProof(now) {
+			return x.authorise()
+		}
+		reason = "the policy was last proved current " + age.String() + " ago"
+	}
+	if reason != "" {
+		return notRunProblem(problem.TypeNotReady, detail+", but "+reason).WithRetryAfter(otherHostRetryAfter)
+	}
+	return notRunProblem(t, detail)
+}
+
+// proofWait is how long a request waits for a proof that the policy is current. It has room for a
+// call to a store in a distant region.
+const proofWait = 250 * time.Millisecond
+
+// awaitProof waits until the policy is proved to have been current at an instant. It reports false
+// if there is no such proof in time.
+func (x *exchange) awaitProof(at boottime.Instant) bool {
+	x.proofAwaited = true
+	ctx, cancel := context.WithTimeout(x.ctx, proofWait)
+	defer cancel()
+	return x.gateway.replica.AwaitProof(ctx, at)
+}
+
 // mayRepeat reports whether a request that may have run may be sent to another upstream: every
 // policy that was in force here since it arrived must allow that.
 func (x *exchange) mayRepeat() bool {
