gateway: a planned stop answers hosts that wait for changes

Requests for changes now stop waiting when new requests are rejected; the host that asked follows another. TestStopAnswersHostsThatWaitForChanges fails on the code before.

--- a/internal/gateway/planned_stop.go
+++ b/internal/gateway/planned_stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,8 @@
 	schedule  atomic.Pointer[stopSchedule] // nil unless the host shuts down
 	abandoned context.Context              // ends when requests at upstreams are given up
 	abandon   context.CancelFunc
+	leaving   context.Context // ends when new requests are rejected
+	leave     context.CancelFunc
 }
 
 type stopSchedule struct {
@@ -42,9 +45,21 @@
 func newPlannedStop() *plannedStop {
 	p := &plannedStop{}
 	p.abandoned, p.abandon = context.WithCancel(context.Background())
+	p.leaving, p.leave = context.WithCancel(context.Background())
 	return p
 }
 
+// endWaits returns a handler whose requests stop waiting when new ones are rejected. A host that waits
+// for changes then follows another one, rather than holding up the stop.
+func (p *plannedStop) endWaits(inner http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(p.leaving, cancel)()
+		inner.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
 // begin begins a shutdown that ends within the grace period. The caller must call the function
 // that it returns when the shutdown has ended.
 func (p *plannedStop) begin(grace time.Duration, now boottime.Instant) (end func()) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -109,6 +109,7 @@
 	withdraw()
 	time.Sleep(scale(grace, rejectAfterFraction))
 	g.rejecting.Store(true)
+	g.stop.leave()
 	var stopping sync.WaitGroup
 	stopping.Go(func() {
 		g.conns.drain(shutdownCtx)
@@ -150,7 +151,7 @@
 		endpoints = append(endpoints, endpoint{withPort(settings.ListenCallers, settings.MetricsPort), observe.TextHandler(metricsPrefix, g.metrics.registry), hostbudget.Internal})
 	}
 	if settings.ListenPeers != "" {
-		endpoints = append(endpoints, endpoint{settings.ListenPeers, changefeed.Handler(g.replica, g.logger), hostbudget.Internal})
+		endpoints = append(endpoints, endpoint{settings.ListenPeers, g.stop.endWaits(changefeed.Handler(g.replica, g.logger)), hostbudget.Internal})
 	}
 	var servers []*http.Server
 	for _, each := range endpoints {
