replica: hosts that follow each other in a ring notice it

In the trace that was read, a rejected host lost its substitute and followed the one host that the store still served, while that one, as the order by name says, tried the rejected host again. Both had the view of a third host, so neither saw its own, and they and all who followed them noticed only when their proofs were too old, at the same moment.

A response now names all hosts through which the view came (Peridotrail-Path), not only the first, and a host leaves a ring with the next response.

Tried first, on a scratch copy: a served host does not follow one that has a substitute.

--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -31,9 +32,9 @@
 // their revisions are those of a store that names no eras.
 const eraHeader = "Peridotrail-Era"
 
-// originHeader is the header of a response with the name of the host that read the changes from the
-// store. Hosts of earlier builds do not send it.
-const originHeader = "Peridotrail-Origin"
+// pathHeader is the header of a response with the names of the hosts through which the changes came from the
+// store, separated by commas. Hosts of earlier builds do not send it.
+const pathHeader = "Peridotrail-Path"
 
 const (
 	// maxWait limits how long a request may wait for a change.
@@ -105,8 +106,8 @@
 			return
 		}
 		w.Header().Set(eraHeader, strconv.FormatUint(uint64(changes.At.Era), 10))
-		if changes.Origin != "" {
-			w.Header().Set(originHeader, changes.Origin)
+		if len(changes.Path) > 0 {
+			w.Header().Set(pathHeader, strings.Join(changes.Path, ","))
 		}
 		if err := cbor.NewEncoder(w).Encode(newChangesResponse(changes)); err != nil {
 			_ = level.Debug(logger).Log("event", "changes not sent", "peer", r.RemoteAddr, "err", err)
@@ -225,6 +226,8 @@
 		return fail(kvstore.KindInvalid, errors.New("the proof age is negative"))
 	}
 	changes := body.decode(era)
-	changes.Origin = response.Header.Get(originHeader)
+	if path := response.Header.Get(pathHeader); path != "" {
+		changes.Path = strings.Split(path, ",")
+	}
 	return changes, nil
 }
--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -44,7 +44,7 @@
 			{Key: "put", Value: []byte{0, 255, 'x'}, Revision: kvstore.Revision{Number: 8}, Lease: kvstore.LeaseID{Number: 3}},
 			{Key: "gone"},
 		},
-		At: kvstore.Revision{Number: 9}, ProofAge: 1234 * time.Microsecond, Outages: 2, Origin: "a-1",
+		At: kvstore.Revision{Number: 9}, ProofAge: 1234 * time.Microsecond, Outages: 2, Path: []string{"a-1", "a-2"},
 	}
 	provider := &fakeProvider{changes: want}
 	got, err := NewClient().Changes(t.Context(), serve(t, Handler(provider, log.NewNopLogger())), kvstore.Revision{Number: 7}, 250*time.Millisecond)
--- a/internal/replica/changes.go
+++ b/internal/replica/changes.go
@@ -18,9 +18,9 @@
 	ProofAge time.Duration
 	// Outages counts the outages of the store whose end this replica has seen.
 	Outages uint64
-	// Origin is the name of the host that read the view from the store, empty if the response is
-	// of an earlier build.
-	Origin string
+	// Path holds the names of the hosts through which the view came from the store: first the one that
+	// read it, last the responding one. It is empty if the response is of an earlier build.
+	Path []string
 }
 
 // ErrCutOff reports that the requested host reaches neither the store nor a host that does.
@@ -83,7 +83,7 @@
 func (r *Replica) changesSince(after kvstore.Revision, arrived boottime.Instant) (Changes, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changes := Changes{At: r.applied, ProofAge: max(0, arrived.Sub(r.Proof())), Outages: r.endedOutages.Load(), Origin: r.origin}
+	changes := Changes{At: r.applied, ProofAge: max(0, arrived.Sub(r.Proof())), Outages: r.endedOutages.Load(), Path: r.path}
 	switch {
 	case r.applied.Era < after.Era:
 		return Changes{}, &kvstore.Error{Kind: kvstore.KindUnavailable, Op: "changes", Err: &EraMismatchError{Followed: r.applied.Era, Own: after.Era}}
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -1,10 +1,10 @@
 package replica
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -104,19 +104,27 @@
 		r.followedOutages = changes.Outages
 		r.options.Handler.StoreRegained() // entries may have expired during the outage
 	}
-	r.applyChanges(changes.Entries, changes.At, sent.Add(-changes.ProofAge), cmp.Or(changes.Origin, peer.Name))
+	r.applyChanges(changes.Entries, changes.At, sent.Add(-changes.ProofAge), pathOf(peer, changes))
 	return nil
 }
 
-// ErrOwnView reports that the view of a followed host comes from the host that follows it.
+// pathOf returns the hosts through which changes came from the store, the responding one last.
+func pathOf(peer Peer, changes Changes) []string {
+	if len(changes.Path) == 0 {
+		return []string{peer.Name}
+	}
+	return changes.Path
+}
+
+// ErrOwnView reports that the view of a followed host came through the host that follows it.
 var ErrOwnView = errors.New("the followed host has its view from this one")
 
-// isOwnView reports whether changes come from this host by way of others. Hosts that follow each
-// other would get no changes and no new proofs.
+// isOwnView reports whether changes came through this host. Hosts that follow each other, directly or by
+// way of others, would get no changes and no new proofs.
 func (r *Replica) isOwnView(changes Changes) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return changes.Origin != "" && changes.Origin == r.peers.self
+	return slices.Contains(changes.Path, r.peers.self)
 }
 
 // leaveEra handles changes of another era than that of the view. If they are of a newer one,
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,10 +9,10 @@
 package replica
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,7 +98,7 @@
 	applied     kvstore.Revision   // the view contains all changes up to it; zero before the first snapshot
 	advanced    chan struct{}      // closed and replaced when applied or the proof changes
 	respondedTo boottime.Instant   // when the last call was sent that the store responded to
-	origin      string             // name of the host that read the view from the store, empty before this host knows its name
+	path        []string           // names of the hosts through which the view came from the store, this one last; nil before this host knows its name; not changed in place
 	history     history
 	peers       peerSelector
 }
@@ -264,14 +264,14 @@
 	}
 	r.trustStore(sent)
 	r.recordRecovery() // before the changes: entries may have expired during the outage
-	r.applyChanges(entries, at, sent, "")
+	r.applyChanges(entries, at, sent, nil)
 	return nil
 }
 
 // applyChanges passes changes to the handler and keeps them for the hosts that follow
-// this one. They are of the era of the view and were current at the instant proved. origin is the
-// host that read them from the store, empty for this one.
-func (r *Replica) applyChanges(entries []kvstore.Entry, at kvstore.Revision, proved boottime.Instant, origin string) {
+// this one. They are of the era of the view and were current at the instant proved. path holds the
+// hosts through which they came from the store, without this one.
+func (r *Replica) applyChanges(entries []kvstore.Entry, at kvstore.Revision, proved boottime.Instant, path []string) {
 	if len(entries) > 0 {
 		r.options.Handler.Apply(entries)
 	}
@@ -279,11 +279,19 @@
 	defer r.mu.Unlock()
 	r.history.add(entries, at)
 	r.applied = kvstore.Latest(r.applied, at)
-	r.origin = cmp.Or(origin, r.peers.self)
+	r.setPath(path)
 	r.prove(proved, at)
 	r.announce()
 }
 
+// setPath records the hosts through which the view came from the store, without this one. The caller
+// holds mu.
+func (r *Replica) setPath(path []string) {
+	if r.peers.self != "" {
+		r.path = append(slices.Clone(path), r.peers.self)
+	}
+}
+
 func (r *Replica) loadSnapshot(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -303,7 +311,7 @@
 		sent = max(sent, r.Proof())
 	}
 	r.history.load(entries, at, r.applied)
-	r.origin = r.peers.self
+	r.setPath(nil)
 	r.applied = at // even if it is lower than before: the view is what the snapshot had
 	r.provedAt.Store(int64(sent))
 	r.announce()
--- a/internal/replica/substitute_test.go
+++ b/internal/replica/substitute_test.go
@@ -140,6 +140,48 @@
 	}
 }
 
+// Hosts that followed each other by way of a third host, whose view all of them had, noticed only when their
+// proofs were too old.
+func TestHostLeavesARingOfHosts(t *testing.T) {
+	at := kvstore.Revision{Era: 5, Number: 7}
+	feed := newErasFeed(at)
+	source := &fixedSource{changes: Changes{At: at, Path: []string{"c", "a"}}}
+	follower := startFollower(t, feed, source)
+	require.Eventually(t, func() bool { return follower.FollowedHost() == "a" }, testDelay, time.Millisecond)
+	source.mu.Lock()
+	source.changes.Path = []string{"c", "b", "a"}
+	source.mu.Unlock()
+	require.Eventually(t, func() bool { return follower.FollowedHost() == "" }, testDelay, time.Millisecond)
+}
+
+// A rejected host that loses its substitute and the host that followed it choose each other at the same time.
+func TestRingOfARejectedAndAServedHostDelaysNoChange(t *testing.T) {
+	skipUnderTheRaceDetector(t)
+	for repeat := range 4 {
+		for offset := time.Duration(0); offset < time.Second; offset += modelStep {
+			t.Run(fmt.Sprintf("%v, %d", offset, repeat), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					var wait sync.WaitGroup
+					d := newModelFleet(ctx, &wait, newModelStore(), [][]string{{"a1"}, {"b1", "b2"}})
+					require.Empty(t, d.lateHosts(3*time.Second))
+					d.feeds["b1"].reject(false)
+					require.Empty(t, d.lateHosts(2*time.Second))
+					d.source.blocked["b1"].Store(true)
+					require.Empty(t, d.lateHosts(modelDelay/4))
+					d.source.blocked["b1"].Store(false)
+					require.Empty(t, d.lateHosts(2*time.Second+offset)) // b2 tries b1 again about then
+					d.feeds["a1"].reject(false)
+					d.source.blocked["a1"].Store(true)
+					require.Empty(t, d.lateHosts(2*modelDelay))
+					cancel()
+					wait.Wait()
+				})
+			})
+		}
+	}
+}
+
 // compactedSource answers for one host whose proof is recent and whose history lacks the changes asked for.
 type compactedSource struct{ followed atomic.Int64 }
 
