replica: a host that loses the store does not try the hosts of its domain in turn

A host that had read the store itself and lost it tried the first host of its domain by name before it asked several at once. It goes on following the host that it follows, if any, or else looks for a substitute among all at once; the time of the last unusable host (avoidedAt) is no longer needed. TestHostToFollow has the new cases.

--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -74,7 +74,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.peers.hostToFollow(r.options.Clock(), r.storeDoubted.Load())
+	return r.peers.hostToFollow(r.options.Clock(), r.storeDoubted.Load(), r.FollowedHost())
 }
 
 // followHost applies the next changes from another host. If that host does not
--- a/internal/replica/follow_test.go
+++ b/internal/replica/follow_test.go
@@ -304,17 +304,24 @@
 	const now = boottime.Instant(time.Hour)
 	peers := []Peer{{Name: "c"}, {Name: "a"}}
 	tests := []struct {
-		name    string
-		self    string
-		avoided map[string]time.Duration // time since the host was found unusable
-		want    string                   // empty: the store
+		name         string
+		self         string
+		avoided      map[string]time.Duration // time since the host was found unusable
+		storeDoubted bool
+		followed     string
+		substitute   string
+		want         string // empty: the store
 	}{
-		{"first by name", "b", nil, "a"},
-		{"this host is the first", "0", nil, ""},
-		{"the first is avoided", "d", map[string]time.Duration{"a": avoidDuration / 2}, "c"},
-		{"the first is avoided and this host is next", "b", map[string]time.Duration{"a": avoidDuration / 2}, ""},
-		{"the first may be followed again", "b", map[string]time.Duration{"a": avoidDuration}, "a"},
-		{"all are avoided", "d", map[string]time.Duration{"a": 0, "c": 0}, ""},
+		{name: "first by name", self: "b", want: "a"},
+		{name: "this host is the first", self: "0", want: ""},
+		{name: "the first is avoided", self: "d", avoided: map[string]time.Duration{"a": avoidDuration / 2}, want: "c"},
+		{name: "the first is avoided and this host is next", self: "b", avoided: map[string]time.Duration{"a": avoidDuration / 2}, want: ""},
+		{name: "the first may be followed again", self: "b", avoided: map[string]time.Duration{"a": avoidDuration}, want: "a"},
+		{name: "all are avoided", self: "d", avoided: map[string]time.Duration{"a": 0, "c": 0}, want: ""},
+		{name: "the first is followed and the store doubted", self: "b", storeDoubted: true, followed: "a", want: "a"},
+		{name: "the store is followed and doubted", self: "b", storeDoubted: true, want: ""},
+		{name: "the followed host is avoided and the store doubted", self: "d", avoided: map[string]time.Duration{"a": 0}, storeDoubted: true, followed: "a", want: ""},
+		{name: "a substitute is followed", self: "b", storeDoubted: true, followed: "e", substitute: "e", want: "e"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -323,7 +330,8 @@
 			for name, since := range test.avoided {
 				r.avoid(name, now.Add(-since), true)
 			}
-			peer, ok := r.hostToFollow(now, false)
+			r.substitute = Peer{Name: test.substitute}
+			peer, ok := r.hostToFollow(now, test.storeDoubted, test.followed)
 			require.Equal(t, test.want != "", ok)
 			require.Equal(t, test.want, peer.Name)
 		})
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -33,7 +33,6 @@
 	self       string
 	substitute Peer                 // for the store; zero: none
 	avoided    map[string]avoidance // by name
-	avoidedAt  boottime.Instant     // when a host was last found unusable
 }
 
 // avoidance is why a host is being skipped.
@@ -57,18 +56,15 @@
 }
 
 // hostToFollow returns the host to follow. ok is false if this host follows the store
-// itself. If it doubts that it reaches the store, one host that can't be followed is enough for it
-// to follow its substitute: the others of the failure domain may not reach the store either, and to
-// try one after another takes too long.
-func (r *peerSelector) hostToFollow(now boottime.Instant, storeDoubted bool) (peer Peer, ok bool) {
-	if storeDoubted && r.avoidedAt != 0 && now.Sub(r.avoidedAt) < avoidDuration {
-		return r.substitute, r.hasSubstitute()
-	}
+// itself. followed is the name of the host that it follows now. If it doubts that it reaches the store, it
+// goes on following that host or its substitute: the others of the failure domain may not reach the store
+// either, and to try one after another takes too long.
+func (r *peerSelector) hostToFollow(now boottime.Instant, storeDoubted bool, followed string) (peer Peer, ok bool) {
 	for _, p := range r.peers {
 		if p.Name > r.self {
 			break
 		}
-		if !r.avoids(p, now) {
+		if !r.avoids(p, now) && (!storeDoubted || p.Name == followed) {
 			return p, true
 		}
 	}
@@ -95,7 +91,7 @@
 	if r.avoided == nil {
 		r.avoided = map[string]avoidance{}
 	}
-	r.avoided[name], r.avoidedAt = avoidance{now, responds}, now
+	r.avoided[name] = avoidance{now, responds}
 	if r.substitute.Name == name {
 		r.substitute = Peer{}
 	}
