replica: a followed host that lacks changes is skipped

A host asked the store for a proof, was told a revision that its view lacked, and took the store for unresponsive. But it followed another host, and that one was behind: the store had just responded. Now it skips the followed host and reads the store. TestFollowedHostThatLacksChangesIsSkipped fails before.

--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -183,15 +183,12 @@
 	return changes, sent, nil
 }
 
-// stopFollowing skips a host for avoidDuration and records that this host no longer
-// follows it. A call shows at once whether the store responds.
+// ErrLacksChanges reports that a followed host has not sent changes that the store has had for long.
+var ErrLacksChanges = errors.New("the host lacks changes that the store has")
+
+// stopFollowing skips a host. A call shows at once whether the store responds.
 func (r *Replica) stopFollowing(peer Peer, err error) {
-	var noResponse *NoResponseError
-	r.mu.Lock()
-	r.peers.avoid(peer.Name, r.options.Clock(), !errors.As(err, &noResponse))
-	r.mu.Unlock()
-	r.followedHost.Store(nil)
-	_ = level.Warn(r.options.Logger).Log("event", "host not followed", "peer", peer.Name, "applied", r.Applied(), "proof_age", r.options.Clock().Sub(r.Proof()), "err", err)
+	r.skip(peer, err)
 	if r.storeDoubted.Load() {
 		signal(r.searchNow)
 		return
@@ -200,4 +197,14 @@
 	signal(r.proveNow)
 }
 
+// skip skips a host for avoidDuration and records that this host no longer follows it.
+func (r *Replica) skip(peer Peer, err error) {
+	var noResponse *NoResponseError
+	r.mu.Lock()
+	r.peers.avoid(peer.Name, r.options.Clock(), !errors.As(err, &noResponse))
+	r.mu.Unlock()
+	r.followedHost.Store(nil)
+	_ = level.Warn(r.options.Logger).Log("event", "host not followed", "peer", peer.Name, "applied", r.Applied(), "proof_age", r.options.Clock().Sub(r.Proof()), "err", err)
+}
+
 func fractionOf(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -420,9 +420,9 @@
 	return r.options.Feed.Current(ctx)
 }
 
-// awaitApplied waits until the view contains all changes up to a revision. If the store is slow to send
-// them, another host is looked for: the store may have stopped responding since it named the revision.
-// It reports false on a timeout, when ctx ends, and when no changes are being waited for.
+// awaitApplied waits until the view contains all changes up to a revision. If the followed host is slow to
+// send them, it is followed no longer. If the store is, another host is looked for: it may have stopped
+// responding since it named the revision. It reports false on a timeout, when ctx ends, and when no changes are being waited for.
 func (r *Replica) awaitApplied(ctx context.Context, at kvstore.Revision) bool {
 	timer := time.NewTimer(r.options.BatchPause + catchUpTimeout)
 	defer timer.Stop()
@@ -441,6 +441,10 @@
 		select {
 		case <-advanced:
 		case <-slow:
+			if followed := r.FollowedHost(); followed != "" && !r.storeDoubted.Load() {
+				r.skip(Peer{Name: followed}, &kvstore.Error{Kind: kvstore.KindUnavailable, Op: "changes", Key: followed, Err: ErrLacksChanges})
+				continue
+			}
 			r.doubtStore(r.options.Clock())
 			if r.needsSubstitute() && !r.watching() {
 				return false
--- a/internal/replica/substitute_test.go
+++ b/internal/replica/substitute_test.go
@@ -182,6 +182,31 @@
 	}
 }
 
+// A host that asked the store for a proof while the host that it followed lacked changes took the store for
+// unresponsive.
+func TestFollowedHostThatLacksChangesIsSkipped(t *testing.T) {
+	skipUnderTheRaceDetector(t)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		d := newModelFleet(ctx, &wait, newModelStore(), [][]string{{"a1", "a2"}})
+		require.Empty(t, d.lateHosts(3*time.Second))
+		follower := d.source.replicas["a2"]
+		require.Equal(t, "a1", follower.FollowedHost())
+		d.feeds["a1"].reject(false)
+		time.Sleep(modelDelay / 10)
+		d.store.write() // ends the watch of a1
+		time.Sleep(modelDelay / 10)
+		d.store.write()
+		proof, cancelProof := context.WithTimeout(ctx, modelDelay/2)
+		defer cancelProof()
+		require.True(t, follower.AwaitProof(proof, bubbleNow()))
+		require.Empty(t, follower.FollowedHost())
+		cancel()
+		wait.Wait()
+	})
+}
+
 // compactedSource answers for one host whose proof is recent and whose history lacks the changes asked for.
 type compactedSource struct{ followed atomic.Int64 }
 
