replica: a host that does not respond does not delay the search for a substitute

The search asked all hosts for the proofs that they had, waited until each had responded or its time was up, and only then gave them time for new proofs. Each host is now asked for a new proof as soon as it has named an old one. TestUnresponsiveHostDoesNotDelayTheSearch fails before.

--- a/internal/replica/substitute.go
+++ b/internal/replica/substitute.go
@@ -148,24 +148,17 @@
 	r.announce()
 }
 
-// searchSubstitute asks some hosts for their proofs at the same time, first for those that they have
-// and then for new ones, and takes the first that it can follow as substitute. Hosts of the own
-// failure domain are near and usually respond first.
+// searchSubstitute asks some hosts for their proofs at the same time and takes the first that it can
+// follow as substitute. Hosts of the own failure domain are near and usually respond first.
 func (r *Replica) searchSubstitute(ctx context.Context) (asked int, ok bool) {
 	r.mu.Lock()
 	candidates := r.peers.candidates(substituteCandidates, r.options.Clock())
 	r.mu.Unlock()
-	for _, wait := range []time.Duration{0, fractionOf(r.options.MaxDelay, requestWaitFraction)} {
-		peer, ok := r.firstCurrent(ctx, candidates, wait)
-		if !ok {
-			continue
-		}
-		if r.setSubstitute(peer) {
-			_ = level.Warn(r.options.Logger).Log("event", "substitute found", "peer", peer.Name, "asked", len(candidates), "applied", r.Applied(), "proof_age", r.options.Clock().Sub(r.Proof()))
-		}
-		return len(candidates), true
+	peer, ok := r.firstCurrent(ctx, candidates)
+	if ok && r.setSubstitute(peer) {
+		_ = level.Warn(r.options.Logger).Log("event", "substitute found", "peer", peer.Name, "asked", len(candidates), "applied", r.Applied(), "proof_age", r.options.Clock().Sub(r.Proof()))
 	}
-	return len(candidates), false
+	return len(candidates), ok
 }
 
 // setSubstitute sets the substitute, unless the store has responded meanwhile.
@@ -179,19 +172,16 @@
 	return true
 }
 
-// firstCurrent returns the first host to respond with a newer proof than this host has. Each may
-// wait for a new proof up to the given time.
-func (r *Replica) firstCurrent(ctx context.Context, hosts []Peer, wait time.Duration) (Peer, bool) {
+// firstCurrent returns the first host to respond with a newer proof than this host has.
+func (r *Replica) firstCurrent(ctx context.Context, hosts []Peer) (Peer, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	own := r.Proof()
-	noChanges := kvstore.Revision{Era: r.Applied().Era, Number: math.MaxUint64} // the proofs are enough
 	current := make(chan Peer, len(hosts))
 	var requests sync.WaitGroup
 	for _, peer := range hosts {
 		requests.Go(func() {
-			changes, sent, err := r.requestChanges(ctx, peer, noChanges, wait)
-			if err == nil && changes.At.Era == noChanges.Era && !r.isOwnView(changes) && sent.Add(-changes.ProofAge) > own {
+			if r.hasNewerProof(ctx, peer, own) {
 				current <- peer
 				cancel()
 			}
@@ -205,3 +195,15 @@
 		return Peer{}, false
 	}
 }
+
+// hasNewerProof reports whether a host has a newer proof than own, or gets one soon.
+func (r *Replica) hasNewerProof(ctx context.Context, peer Peer, own boottime.Instant) bool {
+	noChanges := kvstore.Revision{Era: r.Applied().Era, Number: math.MaxUint64} // the proofs are enough
+	for _, wait := range []time.Duration{0, fractionOf(r.options.MaxDelay, requestWaitFraction)} {
+		changes, sent, err := r.requestChanges(ctx, peer, noChanges, wait)
+		if err == nil && changes.At.Era == noChanges.Era && !r.isOwnView(changes) && sent.Add(-changes.ProofAge) > own {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/replica/substitute_test.go
+++ b/internal/replica/substitute_test.go
@@ -207,6 +207,37 @@
 	})
 }
 
+// staleSource answers for one host that does not respond, and for one that has an old proof and soon gets
+// a new one.
+type staleSource struct{ newProofAfter time.Duration }
+
+func (s staleSource) Changes(ctx context.Context, peer Peer, after kvstore.Revision, wait time.Duration) (Changes, error) {
+	switch {
+	case peer.Name == "unresponsive":
+		<-ctx.Done()
+		return Changes{}, ctx.Err()
+	case wait == 0:
+		return Changes{At: after, ProofAge: modelDelay}, nil
+	}
+	pause(ctx, s.newProofAfter)
+	return Changes{At: after}, nil
+}
+
+// The search for a substitute waited for a host that did not respond before it gave the others time for a
+// new proof.
+func TestUnresponsiveHostDoesNotDelayTheSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := staleSource{newProofAfter: 10 * time.Millisecond}
+		r := New(Options{Logger: log.NewNopLogger(), Clock: bubbleNow, Source: source, MaxDelay: modelDelay})
+		r.SetPeers("a", nil, []Peer{{Name: "b"}, {Name: "unresponsive"}})
+		r.doubtStore(bubbleNow())
+		start := bubbleNow()
+		_, ok := r.searchSubstitute(t.Context())
+		require.True(t, ok)
+		require.Equal(t, source.newProofAfter, bubbleNow().Sub(start))
+	})
+}
+
 // compactedSource answers for one host whose proof is recent and whose history lacks the changes asked for.
 type compactedSource struct{ followed atomic.Int64 }
 
