replica: the search for a substitute does not restart watches of followed hosts

Since a host that loses the store goes on following one host only, it never has a watch in progress while it follows another host: the watch clears the followed host, and a substitute ends the watch where it is found. The branch that ended such a watch could not be reached, and its comment told of skipped hosts that are followed again.

No test changes.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -422,7 +422,8 @@
 
 // awaitApplied waits until the view contains all changes up to a revision. If the followed host is slow to
 // send them, it is followed no longer. If the store is, another host is looked for: it may have stopped
-// responding since it named the revision. It reports false on a timeout, when ctx ends, and when no changes are being waited for.
+// responding since it named the revision. It reports false on a timeout, when ctx ends, and when no watch
+// is in progress that could bring the changes.
 func (r *Replica) awaitApplied(ctx context.Context, at kvstore.Revision) bool {
 	timer := time.NewTimer(r.options.BatchPause + catchUpTimeout)
 	defer timer.Stop()
@@ -491,16 +492,14 @@
 	return r.cancelWatch != nil
 }
 
-// restartWatch cancels the current watch, whose connection may be dead. It reports whether there is one.
-func (r *Replica) restartWatch() bool {
+// restartWatch cancels the current watch, whose connection may be dead.
+func (r *Replica) restartWatch() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cancelWatch == nil {
-		return false
+	if r.cancelWatch != nil {
+		r.cancelWatch()
+		r.cancelWatch = nil
 	}
-	r.cancelWatch()
-	r.cancelWatch = nil
-	return true
 }
 
 // recordFailure records that the store could not be reached by a call that was sent at an instant. A
--- a/internal/replica/substitute.go
+++ b/internal/replica/substitute.go
@@ -108,9 +108,6 @@
 		if !r.needsSubstitute() {
 			backoff, rounds = minSearchPause, 0
 			r.cutOff.Store(false)
-			if r.storeDoubted.Load() && r.restartWatch() {
-				r.wakeAfterStore() // for a host that was skipped until now
-			}
 			select {
 			case <-r.searchNow:
 			case <-ctx.Done():
