relay: the test of a request's deadline does not race the handler's empty response

The handler's deadline is the caller's, rounded down to milliseconds.

The handler now returns only after Send has.

--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -235,7 +235,7 @@
 func TestCancellationReachesHandler(t *testing.T) {
 	for _, when := range []string{"before the response", "by deadline", "during the response", "by closing the body"} {
 		t.Run(when, func(t *testing.T) {
-			started, ended := make(chan struct{}), make(chan struct{})
+			started, ended, returned := make(chan struct{}), make(chan struct{}), make(chan struct{})
 			client, b := startPair(t, func(w http.ResponseWriter, r *http.Request) {
 				if strings.Contains(when, "body") || strings.Contains(when, "during") {
 					w.(http.Flusher).Flush()
@@ -243,6 +243,7 @@
 				close(started)
 				<-r.Context().Done()
 				close(ended)
+				<-returned // Send does not depend on a response at the deadline
 			})
 			ctx, cancel := context.WithCancel(t.Context())
 			if when == "by deadline" {
@@ -253,6 +254,7 @@
 				go func() { <-started; cancel() }()
 			}
 			response, err := client.Send(b.Addr(), relay.Metadata{}, newRequest(t, ctx, http.MethodGet, "/", nil))
+			close(returned)
 			switch when {
 			case "during the response":
 				require.NoError(t, err)
