replica: a host that loses the store tells its followers in time, also beside an unresponsive host

In the trace that was read, all hosts had their view through one host, which the store then rejected. It told its followers only after three rounds of its search. With one host of those asked unresponsive, a round takes 0.4 s, so the followers left it when their proofs were too old, 1.4 s after the last one; among them was the only host that the store still served. That left others 0.6 s to find it.

A host now tells its followers when it has had no source for 0.2 of the delay, however long its rounds are; a single call that fails is repeated before. The flag is set and checked under the lock, since the timer may fire while a substitute is found.

TestHostThatLosesTheStoreTellsItsFollowers fails before (10 of 10).

--- a/internal/replica/substitute.go
+++ b/internal/replica/substitute.go
@@ -28,9 +28,12 @@
 	minSearchPause    = 100 * time.Millisecond
 	searchPauseGrowth = 1.3
 	maxSearchPause    = 1600 * time.Millisecond
-	// cutOffRounds is the number of rounds without a current host after which this host tells those
-	// that follow it. A single call that fails is repeated before.
-	cutOffRounds = 3
+	// cutOffFraction of MaxDelay is the time without a current host after which this host tells those
+	// that follow it, which may reach the store. A single call that fails is repeated before. It is well
+	// below staleProofFraction, at which they would notice themselves.
+	cutOffFraction = 0.2
+	// reportedRounds is the number of rounds without a current host after which this is logged.
+	reportedRounds = 3
 	// storeRetryInterval is the time between two calls to the store of a host that follows a
 	// substitute.
 	storeRetryInterval = time.Second
@@ -94,34 +97,49 @@
 
 // needsSubstitute reports whether this host does not reach the store and has no host to follow.
 func (r *Replica) needsSubstitute() bool {
-	if r.options.Source == nil || !r.storeDoubted.Load() || r.Applied().IsZero() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.needsSubstituteLocked()
+}
+
+// needsSubstituteLocked is needsSubstitute for a caller that holds mu.
+func (r *Replica) needsSubstituteLocked() bool {
+	if r.options.Source == nil || !r.storeDoubted.Load() || r.applied.IsZero() {
 		return false
 	}
-	_, ok := r.hostToFollow()
+	_, ok := r.peers.hostToFollow(r.options.Clock(), true, r.FollowedHost())
 	return !ok
 }
 
 // searchSubstitutes looks for a substitute whenever this host needs one, until ctx ends.
 func (r *Replica) searchSubstitutes(ctx context.Context) {
-	backoff, rounds := minSearchPause, 0
 	for ctx.Err() == nil {
-		if !r.needsSubstitute() {
-			backoff, rounds = minSearchPause, 0
-			r.cutOff.Store(false)
-			select {
-			case <-r.searchNow:
-			case <-ctx.Done():
-			}
+		if r.needsSubstitute() {
+			r.searchWhileNeeded(ctx)
 			continue
 		}
+		select {
+		case <-r.searchNow:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// searchWhileNeeded looks for a substitute in rounds until this host needs none or ctx ends. If it takes
+// long, the hosts that follow this one are told.
+func (r *Replica) searchWhileNeeded(ctx context.Context) {
+	report := time.AfterFunc(fractionOf(r.options.MaxDelay, cutOffFraction), r.reportCutOff)
+	defer r.cutOff.Store(false)
+	defer report.Stop()
+	backoff := minSearchPause
+	for rounds := 1; r.needsSubstitute() && ctx.Err() == nil; rounds++ {
 		asked, ok := r.searchSubstitute(ctx)
 		if ok {
 			r.restartWatch()
 			r.wakeAfterStore()
-			continue
+			return
 		}
-		if rounds++; rounds == cutOffRounds {
-			r.reportCutOff()
+		if rounds == reportedRounds {
 			_ = level.Warn(r.options.Logger).Log("event", "no substitute", "asked", asked, "applied", r.Applied(), "proof_age", r.options.Clock().Sub(r.Proof()))
 		}
 		pause(ctx, backoff/2+rand.N(backoff))
@@ -137,12 +155,14 @@
 }
 
 // reportCutOff lets the hosts that follow this one look for another one at once, rather than when
-// the proof of this host has become too old.
+// the proof of this host has become too old. It has no effect if this host needs no substitute any more.
 func (r *Replica) reportCutOff() {
-	r.cutOff.Store(true)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.announce()
+	if r.needsSubstituteLocked() {
+		r.cutOff.Store(true)
+		r.announce()
+	}
 }
 
 // searchSubstitute asks some hosts for their proofs at the same time and takes the first that it can
--- a/internal/replica/substitute_test.go
+++ b/internal/replica/substitute_test.go
@@ -238,6 +238,34 @@
 	})
 }
 
+// A host that lost the store, and of which one host that it asked did not respond, told those that follow it
+// later than their proofs were too old.
+func TestHostThatLosesTheStoreTellsItsFollowers(t *testing.T) {
+	skipUnderTheRaceDetector(t)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		d := startRejection(ctx, &wait)
+		require.Empty(t, d.lateHosts(3*time.Second))
+		d.source.blocked["b3"].Store(true)
+		for _, feed := range d.feeds {
+			feed.reject(false)
+		}
+		d.store.write() // ends the watches
+		time.Sleep(fractionOf(modelDelay, staleProofFraction))
+		_, err := d.source.replicas["a1"].Changes(ctx, d.source.replicas["a2"].Applied(), 0)
+		require.ErrorIs(t, err, ErrCutOff)
+		for _, feed := range d.feeds {
+			feed.accept()
+		}
+		time.Sleep(modelDelay)
+		_, err = d.source.replicas["a1"].Changes(ctx, d.source.replicas["a2"].Applied(), 0)
+		require.NoError(t, err)
+		cancel()
+		wait.Wait()
+	})
+}
+
 // compactedSource answers for one host whose proof is recent and whose history lacks the changes asked for.
 type compactedSource struct{ followed atomic.Int64 }
 
