--- a/internal/replica/substitute_test.go
+++ b/internal/replica/substitute_test.go
@@ -185,7 +185,6 @@
 // A host that asked the store for a proof while the host that it followed lacked changes took the store for
 // unresponsive.
 func TestFollowedHostThatLacksChangesIsSkipped(t *testing.T) {
-	skipUnderTheRaceDetector(t)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var wait sync.WaitGroup
@@ -486,7 +485,6 @@
 // A host that has a substitute asks the store once a second whether it responds again, and not in
 // place of it.
 func TestHostWithASubstituteCallsTheStoreSeldom(t *testing.T) {
-	skipUnderTheRaceDetector(t)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var wait sync.WaitGroup
