replica: a rejected host that loses its substitute tells its followers at once

Served hosts followed a rejected one by the order of names, and that one a substitute. When the substitute lost the store, too, each host of the chain told its followers 0.2 of the delay after the one before it, so the served ones at its end noticed first by their proofs, and those that need them had 0.6 s.

The wait is for the repeat of a single failed call. It counts from the first call without response now, so a host that has not reached the store for long does not wait. TestRejectedHostThatLosesItsSubstituteTellsItsFollowersAtOnce fails before (20 of 20).

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -98,6 +98,7 @@
 	applied     kvstore.Revision   // the view contains all changes up to it; zero before the first snapshot
 	advanced    chan struct{}      // closed and replaced when applied or the proof changes
 	respondedTo boottime.Instant   // when the last call was sent that the store responded to
+	doubtedAt   boottime.Instant   // when the store was doubted, if it is
 	path        []string           // names of the hosts through which the view came from the store, this one last; nil before this host knows its name; not changed in place
 	history     history
 	peers       peerSelector
--- a/internal/replica/substitute.go
+++ b/internal/replica/substitute.go
@@ -28,9 +28,9 @@
 	minSearchPause    = 100 * time.Millisecond
 	searchPauseGrowth = 1.3
 	maxSearchPause    = 1600 * time.Millisecond
-	// cutOffFraction of MaxDelay is the time without a current host after which this host tells those
-	// that follow it, which may reach the store. A single call that fails is repeated before. It is well
-	// below staleProofFraction, at which they would notice themselves.
+	// cutOffFraction of MaxDelay is the time without a response of the store after which a host without a
+	// substitute tells those that follow it, which may reach the store. A single call that fails is repeated
+	// before. It is well below staleProofFraction, at which they would notice themselves.
 	cutOffFraction = 0.2
 	// reportedRounds is the number of rounds without a current host after which this is logged.
 	reportedRounds = 3
@@ -48,8 +48,8 @@
 func (r *Replica) doubtStore(sent boottime.Instant) {
 	r.mu.Lock()
 	outdated := sent < r.respondedTo
-	if !outdated {
-		r.storeDoubted.Store(true)
+	if !outdated && !r.storeDoubted.Swap(true) {
+		r.doubtedAt = r.options.Clock()
 	}
 	r.mu.Unlock()
 	if !outdated {
@@ -125,10 +125,10 @@
 	}
 }
 
-// searchWhileNeeded looks for a substitute in rounds until this host needs none or ctx ends. If it takes
-// long, the hosts that follow this one are told.
+// searchWhileNeeded looks for a substitute in rounds until this host needs none or ctx ends. If it has not
+// reached the store for long, the hosts that follow this one are told.
 func (r *Replica) searchWhileNeeded(ctx context.Context) {
-	report := time.AfterFunc(fractionOf(r.options.MaxDelay, cutOffFraction), r.reportCutOff)
+	report := time.AfterFunc(r.cutOffDue().Sub(r.options.Clock()), r.reportCutOff)
 	defer r.cutOff.Store(false)
 	defer report.Stop()
 	backoff := minSearchPause
@@ -154,6 +154,14 @@
 	signal(r.proveNow) // the next proof is due at another time
 }
 
+// cutOffDue returns when this host, unless it has a source by then, tells those that follow it. A host that
+// loses a substitute knows already that it does not reach the store.
+func (r *Replica) cutOffDue() boottime.Instant {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.doubtedAt.Add(fractionOf(r.options.MaxDelay, cutOffFraction))
+}
+
 // reportCutOff lets the hosts that follow this one look for another one at once, rather than when
 // the proof of this host has become too old. It has no effect if this host needs no substitute any more.
 func (r *Replica) reportCutOff() {
--- a/internal/replica/substitute_test.go
+++ b/internal/replica/substitute_test.go
@@ -265,6 +265,32 @@
 	})
 }
 
+// Each host of a chain of rejected ones told its followers later than the one before it, until the last of
+// them noticed by its proof.
+func TestRejectedHostThatLosesItsSubstituteTellsItsFollowersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		d := newModelFleet(ctx, &wait, newModelStore(), [][]string{{"a"}, {"b"}, {"c"}})
+		d.source.replicas["b"].SetPeers("b", nil, []Peer{{Name: "a"}})
+		d.source.replicas["c"].SetPeers("c", nil, []Peer{{Name: "b"}})
+		d.lateHosts(time.Second)
+		d.feeds["b"].reject(false)
+		d.feeds["c"].reject(false)
+		d.lateHosts(avoidDuration + time.Second)
+		require.Equal(t, "b", d.source.replicas["c"].FollowedHost())
+		d.feeds["a"].reject(false)
+		d.store.write() // ends the watch of a
+		time.Sleep(fractionOf(modelDelay, 1.5*cutOffFraction))
+		for _, name := range []string{"a", "b"} {
+			_, err := d.source.replicas[name].Changes(ctx, d.source.replicas["c"].Applied(), 0)
+			require.ErrorIs(t, err, ErrCutOff, name)
+		}
+		cancel()
+		wait.Wait()
+	})
+}
+
 // compactedSource answers for one host whose proof is recent and whose history lacks the changes asked for.
 type compactedSource struct{ followed atomic.Int64 }
 
