Test that rejected hosts stay known to each other, with processes

While the store rejects most hosts, callers are sent to the few others: a rejected host learns from its substitute that the registrations of all rejected hosts have expired, and names none of them in look-ups, itself included.

Its first form only counted the addresses and passed at once: with no host left in the failure domain and its region, the two hosts of another region are named.

--- a/test/storelinks/fleet_test.go
+++ b/test/storelinks/fleet_test.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -57,6 +59,7 @@
 	name, domain string
 	callers      string // IP:port
 	ready        string // IP:port
+	lookups      string // IP:port
 	settings     string // path
 	log          string // path
 	link         *platformtest.Link
@@ -154,7 +157,7 @@
 	free := f.addresses(6)
 	port := func(address string) string { return strings.TrimPrefix(address, "127.0.0.1:") }
 	h := &host{
-		name: name, domain: domain, callers: free[0], ready: free[1],
+		name: name, domain: domain, callers: free[0], ready: free[1], lookups: free[2],
 		settings: filepath.Join(f.dir, name+".json"), log: filepath.Join(f.dir, name+".log"),
 		link: platformtest.NewLink(f.store), client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{}},
 	}
@@ -209,6 +212,23 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// lookup returns the entry addresses that the host names for its own failure domain.
+func (h *host) lookup() ([]string, error) {
+	query := url.Values{"name": {policyHost}, "region": {regions[h.domain]}, "zone": {h.domain}}
+	response, err := h.client.Get("http://" + h.lookups + "/resolve?" + query.Encode())
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var body struct {
+		Addresses []string `json:"addresses"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
+		return nil, err
+	}
+	return body.Addresses, nil
+}
+
 // logLines returns the last lines of the host's log about its view and the policies.
 func (h *host) logLines() string {
 	text, _ := os.ReadFile(h.log)
--- a/test/storelinks/storelinks_test.go
+++ b/test/storelinks/storelinks_test.go
@@ -35,7 +35,9 @@
 	recoveryTime = 4 * time.Second
 	// registrationTime lets hosts learn of each other.
 	registrationTime = 2 * time.Second
-	addedNumbers     = 4 // of the routes and keys that are added and dropped
+	// leaseTime is the lease of a host's registration in the store.
+	leaseTime    = 3 * time.Second
+	addedNumbers = 4 // of the routes and keys that are added and dropped
 )
 
 // trial is a fleet under probes.
@@ -201,6 +203,54 @@
 	r.report()
 }
 
+// Hosts that the store rejected learned from others that the registrations of all rejected hosts had
+// expired. They named none of them to callers any more, sent these to the few others and knew too few
+// hosts to follow.
+func TestRejectedHostsStayKnownToEachOther(t *testing.T) {
+	knownfailure.SkipIfListed(t)
+	if testing.Short() {
+		t.Skip("starts 12 processes")
+	}
+	r := startRun(t, 2)
+	rejected := r.hosts[:len(r.hosts)-2]
+	for i, h := range rejected {
+		h.link.SetFault([]platformtest.Fault{platformtest.FaultReset, platformtest.FaultSilent, platformtest.FaultUnavailable, platformtest.FaultTooManyRequests}[i/2%4])
+	}
+	lookedUp := func(h *host) []string {
+		addresses, err := h.lookup()
+		assert.NoError(t, err, h.name)
+		return addresses
+	}
+	for range 20 {
+		time.Sleep(leaseTime / 6)
+		for _, h := range rejected {
+			assert.ElementsMatch(t, callersOf(r.inDomain(h.domain)), lookedUp(h), h.name)
+		}
+		if t.Failed() {
+			return
+		}
+	}
+	gone, left := rejected[0], rejected[1]
+	gone.kill()
+	for _, h := range rejected {
+		h.link.SetFault(platformtest.FaultNone)
+	}
+	// A host that does not come back is forgotten; then its region's other failure domain is named too.
+	require.Eventually(t, func() bool { return !slices.Contains(lookedUp(left), gone.callers) }, 2*leaseTime, 50*time.Millisecond)
+	for _, h := range rejected[2:] {
+		assert.ElementsMatch(t, callersOf(r.inDomain(h.domain)), lookedUp(h), h.name)
+	}
+}
+
+// callersOf returns the addresses of hosts for callers.
+func callersOf(hosts []*host) []string {
+	var addresses []string
+	for _, h := range hosts {
+		addresses = append(addresses, h.callers)
+	}
+	return addresses
+}
+
 // TestStoreLinksSoak rejects hosts in overlapping series, kills some, drops the store's history and writes
 // policies in storms. One host always reaches the store; without one, no host can know of a policy.
 func TestStoreLinksSoak(t *testing.T) {
