gateway: a host that the store rejects keeps the hosts that it knows

While the store rejected most hosts, callers were sent to the few others, which could not serve them; after some seconds rejected hosts found no substitute either.

Cause: since a rejected host goes on reading changes, from its substitute. Among these are the expired registrations of all rejected hosts, its own included, and it forgot them as if they had ended. A registration that expires in such a time does not show that its host has ended.

Known hosts are now held from when the store is doubted until it responds, and for AbsenceGrace after, as after an outage. Hosts that do end meanwhile are held too, as in an outage.

--- a/internal/catalog/set.go
+++ b/internal/catalog/set.go
@@ -20,17 +20,20 @@
 // record is a member with the state of its entry.
 type record[T any] struct {
 	member      T
-	absentSince boottime.Instant // end of the outage after which the entry was missing, zero if it exists
+	absentSince boottime.Instant // from when AbsenceGrace counts, zero if the entry exists
 }
 
 // Set holds registered members by ID. A member is removed as soon as its entry is
 // deleted. After an outage of the store, however, the entry may be missing only
-// because its lease could not be renewed, so the member stays for AbsenceGrace. A
-// Set is not safe for concurrent use.
+// because its lease could not be renewed, so the member stays for AbsenceGrace. The same holds
+// between Hold and Release, when it stays until AbsenceGrace after Release. A Set is not safe for
+// concurrent use.
 type Set[T any] struct {
 	records     map[string]*record[T]
 	outageEnded boottime.Instant
 	hadOutage   bool
+	held        bool
+	heldSince   boottime.Instant
 }
 
 // NewSet returns an empty set.
@@ -42,16 +45,41 @@
 	s.hadOutage = true
 }
 
+// Hold keeps all members, whether their entries are deleted or not, until Release is called.
+func (s *Set[T]) Hold(now boottime.Instant) {
+	if !s.held {
+		s.held, s.heldSince = true, now
+	}
+}
+
+// Release ends the time that began with Hold, if it did, as an outage ends. Members whose entries were
+// deleted in that time stay for AbsenceGrace.
+func (s *Set[T]) Release(now boottime.Instant) {
+	if !s.held {
+		return
+	}
+	s.held = false
+	s.OutageEnded(now)
+	for _, r := range s.records {
+		if r.absentSince >= s.heldSince {
+			r.absentSince = now
+		}
+	}
+}
+
 // Put adds or replaces a member whose entry exists.
 func (s *Set[T]) Put(id string, member T) { s.records[id] = &record[T]{member: member} }
 
-// Remove records that the entry of a member does not exist. Within AbsenceGrace of
-// the end of an outage the member stays until Expire removes it. removed reports whether
-// the member was removed now.
+// Remove records that the entry of a member does not exist. While members are held, and within
+// AbsenceGrace of the end of an outage, the member stays until Expire removes it. removed reports
+// whether the member was removed now.
 func (s *Set[T]) Remove(id string, now boottime.Instant) (member T, removed bool) {
 	r := s.records[id]
 	switch {
 	case r == nil:
+	case s.held && r.absentSince == 0:
+		r.absentSince = now
+	case s.held:
 	case !s.hadOutage || now.Sub(s.outageEnded) > AbsenceGrace:
 		delete(s.records, id)
 		return r.member, true
@@ -77,8 +105,11 @@
 }
 
 // Expire removes the members whose entries have been missing for longer than
-// AbsenceGrace and returns them, in no particular order.
+// AbsenceGrace and returns them, in no particular order. While members are held there are none.
 func (s *Set[T]) Expire(now boottime.Instant) []T {
+	if s.held {
+		return nil
+	}
 	var expired []T
 	for id, r := range s.records {
 		if r.absentSince != 0 && now.Sub(r.absentSince) > AbsenceGrace {
--- a/internal/catalog/set_test.go
+++ b/internal/catalog/set_test.go
@@ -56,3 +56,28 @@
 	s.Remove("a", after(1100*time.Millisecond))
 	require.Equal(t, []string{"a"}, s.Expire(after(AbsenceGrace+time.Millisecond)))
 }
+
+// Members whose entries expire while the store rejects this host may be rejected too.
+func TestMembersAreHeld(t *testing.T) {
+	s := NewSet[string]()
+	for _, id := range []string{"absent before", "lives", "dead"} {
+		s.Put(id, id)
+	}
+	s.OutageEnded(start)
+	s.Remove("absent before", start)
+	s.Hold(after(time.Second))
+	s.Remove("lives", after(time.Second))
+	s.Hold(after(2 * time.Second)) // is held already
+	s.Remove("dead", after(4*time.Second))
+	s.Remove("dead", after(5*time.Second))
+	require.Empty(t, s.Expire(after(time.Hour)))
+	require.Len(t, members(s), 3)
+	s.Release(after(time.Hour))
+	s.Release(after(2 * time.Hour)) // was released already
+	require.Equal(t, []string{"absent before"}, s.Expire(after(time.Hour)), "its time was over before")
+	s.Put("lives", "lives")
+	require.Empty(t, s.Expire(after(time.Hour+AbsenceGrace)))
+	require.Equal(t, []string{"dead"}, s.Expire(after(time.Hour+AbsenceGrace+time.Millisecond)))
+	s.Remove("lives", after(2*time.Hour))
+	require.Empty(t, members(s), "nothing is held any more")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,6 +106,7 @@
 		ProofInterval: scale(o.Settings.KeyAge, proofIntervalFraction), BatchPause: scale(o.Settings.PolicyDelay, batchDelayFraction),
 		Source: changefeed.NewClient(), MaxDelay: o.Settings.PolicyDelay,
 	})
+	g.state.storeDoubted = g.replica.StoreDoubted
 	g.metrics.showBodyMemory(g.bodies.Free)
 	g.metrics.showPolicyVersions(func() int64 { return int64(g.state.policyVersion()) }, func() int64 { return int64(g.state.versions.newest.Load()) })
 	g.metrics.showShares(g.limits.shares.HeldShares, func() bool { return g.limits.shares.Leased(boottime.Now()) })
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -34,6 +34,9 @@
 	limits   *limits
 	shares   *leasedshare.Holder
 	crashes  *crashguard.Table
+	// storeDoubted reports whether the store may not respond to this host, whose view then comes from
+	// another host or not at all. It is set before the replica runs.
+	storeDoubted func() bool
 	// onUpstreams is called with all known upstreams after each change.
 	onUpstreams func([]catalog.Upstream)
 	// onPolicy is called with each policy before it is in force.
@@ -89,6 +92,8 @@
 
 		onHosts:  func([]catalog.Host) {},
 		onPolicy: func(*routing.Table) {},
+
+		storeDoubted: func() bool { return false },
 	}
 	s.hosts.Store(&[]catalog.Host{})
 	s.upstreamNames.Store(&map[uint32]string{})
@@ -202,6 +207,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
+	s.holdHosts(now)
 	for _, entry := range entries {
 		s.apply(entry, false, now)
 		s.shares.Apply(entry, now)
@@ -231,12 +237,24 @@
 	s.hostMembers.OutageEnded(now)
 }
 
+// holdHosts keeps the known hosts while the store does not respond to this one. Their registrations may
+// have expired only because it rejects them too; by way of a substitute this host learns of that. Hosts
+// that end meanwhile are kept as well. The caller holds mu.
+func (s *state) holdHosts(now boottime.Instant) {
+	if s.storeDoubted() {
+		s.hostMembers.Hold(now)
+	} else {
+		s.hostMembers.Release(now)
+	}
+}
+
 // expireAbsent removes upstreams and hosts whose entries did not reappear after an
 // outage of the store.
 func (s *state) expireAbsent() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
+	s.holdHosts(now)
 	changed := s.endRetention(now)
 	var expired []string
 	for _, gone := range s.upstreams.Expire(now) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -116,6 +116,10 @@
 // zero if there is none. It is safe for concurrent use.
 func (r *Replica) Proof() boottime.Instant { return boottime.Instant(r.provedAt.Load()) }
 
+// StoreDoubted reports whether the latest call of this host to the store failed, or has had no response
+// for long. It is safe for concurrent use.
+func (r *Replica) StoreDoubted() bool { return r.storeDoubted.Load() }
+
 // AwaitProof asks the store for a proof and waits until the view is proved to have been current
 // at an instant. It reports false when ctx ends, and at once if the store is known not to
 // respond. It is safe for concurrent use.
