replica: a search for a substitute waits for the proof of a host that is cut off

With an unresponsive host among those asked, it then waited 0.4 s before it asked again, though the others had a new proof soon after its first question.

A request for a proof alone now waits for one, also at a host that is cut off. Those who ask for changes are still answered at once, since they have a source to leave.

TestSearchWaitsForTheProofOfAHostThatIsCutOff failed before.

--- a/internal/replica/changes.go
+++ b/internal/replica/changes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"peridotrail/internal/boottime"
@@ -30,15 +31,21 @@
 // that it still has followers.
 const followerTimeout = 2 * time.Second
 
+// proofOnly is the number of a revision after which there are no changes: a request for changes after
+// it is for a proof alone.
+const proofOnly = math.MaxUint64
+
 // Changes returns the changes after a revision. If there is none, it waits for one or for
 // a newer proof until wait has passed or ctx ends. If the view is of a newer era than the revision, it
 // returns no changes and the revision of the view. It fails with KindCompacted if the
 // history no longer covers the revision, which includes revisions without an era of a store
 // that names eras, and with KindUnavailable before the first snapshot, while the view is
-// of an older era and while this host is cut off. It is safe for concurrent use.
+// of an older era and while this host is cut off. A request for a proof alone is from a host that looks
+// for a substitute, so it waits for a proof even then. It is safe for concurrent use.
 func (r *Replica) Changes(ctx context.Context, after kvstore.Revision, wait time.Duration) (Changes, error) {
 	cutOff := &kvstore.Error{Kind: kvstore.KindUnavailable, Op: "changes", Err: ErrCutOff}
-	if r.cutOff.Load() {
+	unusable := func() bool { return r.cutOff.Load() && after.Number != proofOnly }
+	if unusable() {
 		return Changes{}, cutOff
 	}
 	arrived, proof := r.options.Clock(), r.Proof()
@@ -61,7 +68,7 @@
 		r.mu.Lock()
 		advanced, applied := r.advanced, r.applied
 		r.mu.Unlock()
-		if r.cutOff.Load() {
+		if unusable() {
 			return Changes{}, cutOff
 		}
 		if after.Before(applied) || r.Proof() > proof {
--- a/internal/replica/substitute.go
+++ b/internal/replica/substitute.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -223,7 +222,7 @@
 
 // hasNewerProof reports whether a host has a newer proof than own, or gets one soon.
 func (r *Replica) hasNewerProof(ctx context.Context, peer Peer, own boottime.Instant) bool {
-	noChanges := kvstore.Revision{Era: r.Applied().Era, Number: math.MaxUint64} // the proofs are enough
+	noChanges := kvstore.Revision{Era: r.Applied().Era, Number: proofOnly}
 	for _, wait := range []time.Duration{0, fractionOf(r.options.MaxDelay, requestWaitFraction)} {
 		changes, sent, err := r.requestChanges(ctx, peer, noChanges, wait)
 		if err == nil && changes.At.Era == noChanges.Era && !r.isOwnView(changes) && sent.Add(-changes.ProofAge) > own {
--- a/internal/replica/substitute_test.go
+++ b/internal/replica/substitute_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -291,11 +290,40 @@
 	})
 }
 
+// A host that looked for a substitute got errors at once from hosts that had just lost theirs, and was
+// late because it asked them again only after an unresponsive host had been waited for.
+func TestSearchWaitsForTheProofOfAHostThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		d := newModelFleet(ctx, &wait, newModelStore(), [][]string{{"a"}, {"b"}})
+		a, b := d.source.replicas["a"], d.source.replicas["b"]
+		d.lateHosts(time.Second)
+		b.SetPeers("b", nil, nil)
+		d.feeds["b"].reject(false)
+		d.store.write() // ends the watch of b
+		time.Sleep(fractionOf(modelDelay, 2*cutOffFraction))
+		_, err := b.Changes(ctx, a.Applied(), 0)
+		require.ErrorIs(t, err, ErrCutOff)
+		own := bubbleNow().Add(-time.Nanosecond) // a proof of the time of the request is newer
+		wait.Go(func() {
+			pause(ctx, fractionOf(modelDelay, requestWaitFraction)/2)
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.prove(bubbleNow(), b.applied)
+			b.announce()
+		})
+		require.True(t, a.hasNewerProof(ctx, Peer{Name: "b"}, own))
+		cancel()
+		wait.Wait()
+	})
+}
+
 // compactedSource answers for one host whose proof is recent and whose history lacks the changes asked for.
 type compactedSource struct{ followed atomic.Int64 }
 
 func (s *compactedSource) Changes(_ context.Context, _ Peer, after kvstore.Revision, _ time.Duration) (Changes, error) {
-	if after.Number == math.MaxUint64 { // asks for the proof only
+	if after.Number == proofOnly {
 		return Changes{At: after}, nil
 	}
 	s.followed.Add(1)
