--- a/test/storelinks/fleet_test.go
+++ b/test/storelinks/fleet_test.go
@@ -77,17 +77,22 @@
 	hosts []*host
 	dir   string
 	port  int // from which ports are tried next
+
+	upstreams map[string]*platformtest.Upstream // of serviceA, by failure domain
 }
 
 // startFleet starts n hosts for each failure domain and waits until they are ready.
 func startFleet(t *testing.T, n int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: platformtest.NewStore(), dir: t.TempDir(), port: 20000 + os.Getpid()*97%9000}
+	f := &fleet{t: t, store: platformtest.NewStore(), dir: t.TempDir(), port: 20000 + os.Getpid()*97%9000, upstreams: map[string]*platformtest.Upstream{}}
 	t.Cleanup(f.store.Close)
 	for _, service := range []string{serviceA, serviceB} {
 		for i, domain := range domains {
 			u := platformtest.NewUpstream(fmt.Sprintf("%s-%d", service, i))
 			t.Cleanup(u.Close)
+			if service == serviceA {
+				f.upstreams[domain] = u
+			}
 			u.SetHandler(func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set(serviceHeader, service)
 				u.Succeed(w, r)
--- a/test/storelinks/storelinks_test.go
+++ b/test/storelinks/storelinks_test.go
@@ -242,6 +242,49 @@
 	}
 }
 
+// Drains, evacuations and the end of upstreams take the path of the policy.
+func TestHostsThatTheStoreRejectsLearnOfUpstreams(t *testing.T) {
+	knownfailure.SkipIfListed(t)
+	if testing.Short() {
+		t.Skip("starts 12 processes")
+	}
+	r := startRun(t, 2)
+	rejected := r.hosts[:len(r.hosts)-2]
+	for i, h := range rejected {
+		h.link.SetFault([]platformtest.Fault{platformtest.FaultReset, platformtest.FaultSilent, platformtest.FaultUnavailable, platformtest.FaultTooManyRequests}[i/2%4])
+	}
+	send := func() (counts map[string]int) {
+		counts = map[string]int{}
+		for domain, u := range r.upstreams {
+			counts[domain] -= len(u.Requests())
+		}
+		for _, h := range rejected {
+			for range 30 {
+				status, _ := h.request(t.Context(), "/kept/x", baseKey, fmt.Sprintf("%016x", r.serial.Add(1)))
+				assert.Equal(t, http.StatusOK, status, h.name)
+			}
+		}
+		for domain, u := range r.upstreams {
+			counts[domain] += len(u.Requests())
+		}
+		return counts
+	}
+	time.Sleep(leaseTime)
+	left := []string{"toronto", "detroit", "cleveland"}
+	before := send()
+	for _, domain := range left {
+		require.NotZero(t, before[domain], "requests to the upstream of %s before", domain)
+	}
+	r.store.Put(platformtest.UpstreamPrefix+r.upstreams["toronto"].ID, r.upstreams["toronto"].Entry(serviceA, "toronto", "draining", 200))
+	r.store.Delete(platformtest.UpstreamPrefix + r.upstreams["detroit"].ID)
+	r.store.Put("op/evacuate/cleveland", "{}")
+	time.Sleep(policyDelay)
+	after := send()
+	for _, domain := range left {
+		assert.Zero(t, after[domain], "requests to the upstream of %s", domain)
+	}
+}
+
 // callersOf returns the addresses of hosts for callers.
 func callersOf(hosts []*host) []string {
 	var addresses []string
