--- a/test/storelinks/fleet_test.go
+++ b/test/storelinks/fleet_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"peridotrail/platform"
@@ -116,7 +117,11 @@
 		h.start(f.t)
 	}
 	for _, h := range f.hosts {
-		require.Eventually(f.t, h.isReady, startTime, 20*time.Millisecond, h.name)
+		if !assert.Eventually(f.t, h.isReady, startTime, 20*time.Millisecond, h.name) {
+			text, err := os.ReadFile(h.log)
+			require.NoError(f.t, err)
+			require.FailNow(f.t, "a host is not ready", "the end of its log:\n%s", text[max(0, len(text)-4000):])
+		}
 	}
 }
 
