--- a/test/storelinks/fleet_test.go
+++ b/test/storelinks/fleet_test.go
@@ -4,12 +4,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -224,19 +222,7 @@
 
 // lookup returns the entry addresses that the host names for its own failure domain.
 func (h *host) lookup() ([]string, error) {
-	query := url.Values{"name": {policyHost}, "region": {regions[h.domain]}, "zone": {h.domain}}
-	response, err := h.client.Get("http://" + h.lookups + "/resolve?" + query.Encode())
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	var body struct {
-		Addresses []string `json:"addresses"`
-	}
-	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
-		return nil, err
-	}
-	return body.Addresses, nil
+	return platformtest.LookUp(h.client, h.lookups, policyHost, regions[h.domain], h.domain)
 }
 
 // logLines returns the last lines of the host's log about its view and the policies.
--- a/test/storelinks/storelinks_test.go
+++ b/test/storelinks/storelinks_test.go
@@ -277,7 +277,7 @@
 	}
 	r.store.Put(platformtest.UpstreamPrefix+r.upstreams["toronto"].ID, r.upstreams["toronto"].Entry(serviceA, "toronto", "draining", 200))
 	r.store.Delete(platformtest.UpstreamPrefix + r.upstreams["detroit"].ID)
-	r.store.Put("op/evacuate/cleveland", "{}")
+	r.store.Put(platformtest.EvacuationPrefix+"cleveland", "{}")
 	time.Sleep(policyDelay)
 	after := send()
 	for _, domain := range left {
