gateway: a held host is named only while it serves

While the store rejects a host, it held hosts whose registrations had expired, also those that had really ended: its look-ups named them for as long as the rejection lasted.

Cause: an expired registration does not tell a host that the store rejects from one that has ended. Only the host itself can. A host that the store does not respond to now asks each held one once a second whether it serves, and hides it while it says no, does not listen or has been silent for 2.5 s. Hosts that reach the store ask nothing.

TestRejectedHostsStayKnownToEachOther now ends two hosts, by kill and by a planned stop, and failed before this change: both were named until the end of the rejection.

--- a/internal/catalog/set.go
+++ b/internal/catalog/set.go
@@ -5,7 +5,6 @@
 package catalog
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -130,11 +129,27 @@
 	return r.member, true
 }
 
+// Absent returns the members whose entries are missing, by ID.
+func (s *Set[T]) Absent() map[string]T {
+	absent := map[string]T{}
+	for id, r := range s.records {
+		if r.absentSince != 0 {
+			absent[id] = r.member
+		}
+	}
+	return absent
+}
+
 // All returns the members, sorted by ID.
-func (s *Set[T]) All() []T {
+func (s *Set[T]) All() []T { return s.Select(func(string) bool { return true }) }
+
+// Select returns the members with certain IDs, sorted by ID.
+func (s *Set[T]) Select(selected func(id string) bool) []T {
 	all := make([]T, 0, len(s.records))
-	for _, id := range slices.SortedFunc(maps.Keys(s.records), cmp.Compare[string]) {
-		all = append(all, s.records[id].member)
+	for _, id := range slices.Sorted(maps.Keys(s.records)) {
+		if selected(id) {
+			all = append(all, s.records[id].member)
+		}
 	}
 	return all
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -62,6 +62,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { g.replica.Run(taskCtx) })
 	tasks.Go(func() { g.expireAbsent(taskCtx) })
+	tasks.Go(func() { g.probeHeldHosts(taskCtx) })
 	tasks.Go(func() { lendingExchange.Run(taskCtx) })
 	if loadExchange != nil {
 		tasks.Go(func() { loadExchange.Run(taskCtx) })
@@ -151,7 +152,10 @@
 		endpoints = append(endpoints, endpoint{withPort(settings.ListenCallers, settings.MetricsPort), observe.TextHandler(metricsPrefix, g.metrics.registry), hostbudget.Internal})
 	}
 	if settings.ListenPeers != "" {
-		endpoints = append(endpoints, endpoint{settings.ListenPeers, g.stop.endWaits(changefeed.Handler(g.replica, g.logger)), hostbudget.Internal})
+		peers := http.NewServeMux()
+		peers.Handle(changefeed.Path, g.stop.endWaits(changefeed.Handler(g.replica, g.logger)))
+		peers.HandleFunc("GET "+peerReadinessPath, g.servePeerReadiness)
+		endpoints = append(endpoints, endpoint{settings.ListenPeers, peers, hostbudget.Internal})
 	}
 	var servers []*http.Server
 	for _, each := range endpoints {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -62,7 +62,8 @@
 	mu          sync.Mutex // guards the fields below
 	upstreams   *catalog.Set[catalog.Upstream]
 	hostMembers *catalog.Set[catalog.Host]
-	evacuated   map[string]bool // by failure domain
+	held        map[string]*heldHost // by key, of hostMembers whose entries are absent
+	evacuated   map[string]bool      // by failure domain
 	// policyUnread tells that the store's policy can't be decoded, so that its version is not
 	// known here. Hosts of another build may have it in force.
 	policyUnread bool
@@ -85,6 +86,7 @@
 		crashes:     crashguard.NewTable(settings.get().Host),
 		upstreams:   catalog.NewSet[catalog.Upstream](),
 		hostMembers: catalog.NewSet[catalog.Host](),
+		held:        map[string]*heldHost{},
 		evacuated:   map[string]bool{},
 		departures:  catalog.NewDepartures(),
 
@@ -237,17 +239,6 @@
 	s.hostMembers.OutageEnded(now)
 }
 
-// holdHosts keeps the known hosts while the store does not respond to this one. Their registrations may
-// have expired only because it rejects them too; by way of a substitute this host learns of that. Hosts
-// that end meanwhile are kept as well. The caller holds mu.
-func (s *state) holdHosts(now boottime.Instant) {
-	if s.storeDoubted() {
-		s.hostMembers.Hold(now)
-	} else {
-		s.hostMembers.Release(now)
-	}
-}
-
 // expireAbsent removes upstreams and hosts whose entries did not reappear after an
 // outage of the store.
 func (s *state) expireAbsent() {
@@ -384,9 +375,8 @@
 	}
 	s.upstreamNames.Store(&names)
 	s.upstreamList.Store(&upstreams)
-	registered := s.hostMembers.All()
-	s.checkVersions(registered)
-	hosts := newestIncarnations(registered)
+	s.checkVersions(s.hostMembers.All())
+	hosts := newestIncarnations(s.servingHosts(s.clock()))
 	s.hosts.Store(&hosts)
 	all, region := s.hostCounts()
 	s.regionHosts.Store(int64(region))
--- a/test/storelinks/fleet_test.go
+++ b/test/storelinks/fleet_test.go
@@ -211,6 +211,13 @@
 	h.process = nil
 }
 
+// stop asks the process to end and does not wait for that.
+func (h *host) stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.process.Process.Signal(syscall.SIGTERM) // it may have ended already
+}
+
 func (h *host) isReady() bool {
 	response, err := h.client.Get("http://" + h.ready + "/ready")
 	if err != nil {
--- a/test/storelinks/storelinks_test.go
+++ b/test/storelinks/storelinks_test.go
@@ -230,15 +230,30 @@
 			return
 		}
 	}
-	gone, left := rejected[0], rejected[1]
+	gone, stopped := rejected[0], rejected[2]
 	gone.kill()
+	stopped.stop()
+	forgotten := func() bool {
+		for _, h := range rejected {
+			if h == gone || h == stopped {
+				continue
+			}
+			if addresses := lookedUp(h); slices.Contains(addresses, gone.callers) || slices.Contains(addresses, stopped.callers) {
+				return false
+			}
+		}
+		return true
+	}
+	require.Eventually(t, forgotten, leaseTime, 50*time.Millisecond, "hosts that have ended are not named, although the store rejects those that ask")
 	for _, h := range rejected {
 		h.link.SetFault(platformtest.FaultNone)
 	}
-	// A host that does not come back is forgotten; then its region's other failure domain is named too.
-	require.Eventually(t, func() bool { return !slices.Contains(lookedUp(left), gone.callers) }, 2*leaseTime, 50*time.Millisecond)
-	for _, h := range rejected[2:] {
-		assert.ElementsMatch(t, callersOf(r.inDomain(h.domain)), lookedUp(h), h.name)
+	for range 10 {
+		time.Sleep(leaseTime / 6)
+		for _, h := range rejected[4:] {
+			assert.ElementsMatch(t, callersOf(r.inDomain(h.domain)), lookedUp(h), h.name)
+		}
+		assert.True(t, forgotten(), "they are not named afterwards either")
 	}
 }
 
