--- a/internal/gateway/held_hosts.go
+++ b/internal/gateway/held_hosts.go
@@ -26,14 +26,15 @@
 	// peerReadinessPath is the HTTP path at which a host tells other hosts whether it serves. Hosts of
 	// earlier builds respond with 404, which counts as serving.
 	peerReadinessPath = "/host/ready"
-	// heldProbeInterval is the time between two questions to a held host. Each costs both hosts about
-	// as much as a request for changes.
+	// heldProbeInterval is the time between two questions to a held host. It is that of calls to a store
+	// that does not respond; each question costs both hosts about as much as a request for changes.
 	heldProbeInterval = time.Second
-	heldProbeTimeout  = 800 * time.Millisecond
+	// heldProbeTimeout limits one question. It is below heldProbeInterval, so that questions do not pile up.
+	heldProbeTimeout = 800 * time.Millisecond
 	// heldSilence is how long a held host may leave questions without response before it counts as
 	// ended. It covers two lost ones.
 	heldSilence = 2500 * time.Millisecond
-	// maxHeldProbes limits the questions that are sent at the same time.
+	// maxHeldProbes limits the questions that are sent at the same time, and the connections for them.
 	maxHeldProbes = 16
 )
 
