explain: reports show whose view the host had

A report on a request that a host refused by an outdated view had no line about the host that it followed, although docs/OPERATIONS.md names these events among the state changes: isStateChange knew neither substitutes nor followed hosts.

TestReportShowsWhoseViewTheHostHad failed before: only store lost was shown.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -111,6 +111,7 @@
 	switch line.Event {
 	case "store lost", "store regained", "store history lost", "store era", "snapshot read", "policy in force", "policy rejected", "policy entry not applied", "policy ignored", "retention ended",
 		"evacuation", "started", "leaving", "settings reloaded", "entries absent after outage",
+		"substitute found", "substitute left", "no substitute", "following host", "host not followed", "held host",
 		"links lost", "links restored":
 		return true
 	case "upstream", "upstream gone", "upstream entry rejected", "upstream entry older than known", "upstream limit":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -36,6 +37,25 @@
 	require.Equal(t, "status 502: the upstream gave no answer; an attempt at upstream i-1 failed: reset", report.Cause)
 }
 
+// A report on a request that an outdated view refused did not show whose view it was.
+func TestReportShowsWhoseViewTheHostHad(t *testing.T) {
+	var log strings.Builder
+	events := []string{"store lost", "host not followed", "no substitute", "substitute found", "following host", "held host", "substitute left"}
+	for i, event := range events {
+		fmt.Fprintf(&log, `{"event":%q,"host":"h","time":"2026-01-01T00:00:0%dZ"}`+"\n", event, i)
+	}
+	log.WriteString(`{"event":"request refused","host":"h","request":"r","status":404,"detail":"no route matches","time":"2026-01-01T00:00:08Z"}`)
+	all, err := Read(strings.NewReader(log.String()))
+	require.NoError(t, err)
+	report, err := Request("r", all)
+	require.NoError(t, err)
+	var shown []string
+	for _, line := range report.StateChanges {
+		shown = append(shown, line.Event)
+	}
+	require.Equal(t, events, shown)
+}
+
 func TestLateRequest(t *testing.T) {
 	report, err := Request("r3", parsedLines(t))
 	require.NoError(t, err)
