--- a/test/storelinks/storelinks_test.go
+++ b/test/storelinks/storelinks_test.go
@@ -23,7 +23,9 @@
 	soakSeed   = flag.Uint64("soak.seed", 1, "seed of the first soak")
 	soakSeeds  = flag.Int("soak.seeds", 1, "number of soaks")
 	soakLength = flag.Duration("soak.length", 30*time.Second, "duration of one soak")
-	soakHosts  = flag.Int("soak.hosts", 3, "hosts of each failure domain")
+	// soakRollbacks lets the store return from a copy now and then; what hosts then miss is in KNOWN-RED.txt.
+	soakRollbacks = flag.Bool("soak.rollbacks", false, "the store returns from older copies")
+	soakHosts     = flag.Int("soak.hosts", 3, "hosts of each failure domain")
 )
 
 const (
@@ -373,6 +375,15 @@
 			h.link.SetFault(fault)
 			names = append(names, h.name)
 		}
+		if *soakRollbacks && random.IntN(2) == 0 {
+			pause := time.Duration(500+random.IntN(2500)) * time.Millisecond
+			troubles.Go(func() {
+				wait(ctx, time.Second) // the hosts have been rejected for some time
+				older := r.store.Copy()
+				wait(ctx, pause)
+				r.store.RollBack(older, platformtest.PolicyKey, platformtest.UpstreamPrefix)
+			})
+		}
 		t.Logf("%s: trouble %d, fault %d for %v: %v", time.Now().Format("05.000"), kind, fault, length, names)
 		troubles.Go(func() {
 			wait(ctx, length)
