--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -127,9 +127,9 @@
 	status := fmt.Sprint(last.Fields["status"])
 	switch last.Event {
 	case "request answered":
-		return answeredCause(last, status)
+		return answeredCause(last, status) + homes(last)
 	case "relayed request answered":
-		return fmt.Sprintf("status %s after %v ms, through host %v", status, last.Fields["took_ms"], last.Fields["peer"])
+		return fmt.Sprintf("status %s after %v ms, through host %v", status, last.Fields["took_ms"], last.Fields["peer"]) + homes(last)
 	}
 	text := fmt.Sprintf("status %s: %v", status, last.Fields["detail"])
 	for _, line := range r.Lines {
@@ -145,7 +145,19 @@
 		text += fmt.Sprintf("; upstream %v was asked last, %v ms until a slot and %v ms of work were expected", last.Fields["upstream"], last.Fields["wait_ms"], last.Fields["work_ms"])
 		text += upstreamLoss(r, last)
 	}
-	return text
+	return text + homes(last)
+}
+
+// homes says in which regions a request may be served, and in which one its last upstream is. It
+// is empty if all regions may serve it.
+func homes(last Line) string {
+	switch {
+	case last.Fields["homes"] == nil:
+		return ""
+	case last.Fields["region"] == nil:
+		return fmt.Sprintf("; its homes under policy %v are %v", last.Fields["version"], last.Fields["homes"])
+	}
+	return fmt.Sprintf("; its homes under policy %v are %v, the upstream is in %v", last.Fields["version"], last.Fields["homes"], last.Fields["region"])
 }
 
 // upstreamLoss says how long before the end of the request the entry of its last
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -80,6 +80,16 @@
 			`{"event":"relayed request answered","host":"h","request":"r","status":200,"took_ms":31,"peer":"h-2"}`,
 			"status 200 after 31 ms, through host h-2",
 		},
+		{
+			"homes",
+			`{"event":"request answered","host":"h","request":"r","status":200,"took_ms":31,"upstream":"i-1","cold":true,"version":7,"homes":"west","region":"east"}`,
+			"status 200 from upstream i-1 after 31 ms: the upstream had just started; its homes under policy 7 are west, the upstream is in east",
+		},
+		{
+			"homes without an upstream",
+			`{"event":"request refused","host":"h","request":"r","status":503,"detail":"d","version":7,"homes":"none"}`,
+			"status 503: d; its homes under policy 7 are none",
+		},
 		{
 			"an upstream that vanished",
 			`{"event":"upstream gone","host":"h","upstream":"i-1","time":"2026-01-01T00:00:03Z"}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -141,13 +141,16 @@
 	}
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name, "service", x.service, "object", x.call.Object)
+		if homes := x.homes(); homes.Restricted() {
+			fields = append(fields, "homes", homes)
+		}
 	}
 	if x.crash.crashes != nil {
 		fields = append(fields, "fingerprint", x.crash.identity, "crashes", x.crash.crashes)
 	}
 	if x.lastPlacement != nil {
 		inputs := x.lastPlacement.Inputs()
-		fields = append(fields, "upstream", x.lastPlacement.Upstream.ID, "domain", x.lastPlacement.Upstream.FailureDomain,
+		fields = append(fields, "upstream", x.lastPlacement.Upstream.ID, "domain", x.lastPlacement.Upstream.FailureDomain, "region", x.lastPlacement.Region,
 			"wait_ms", inputs.Wait.Milliseconds(), "work_ms", inputs.ServiceTime.Milliseconds(), "warm", roundToHundredths(inputs.HitProbability), "home", inputs.Preferred, "cold", inputs.Cold,
 			"load", roundToHundredths(inputs.Load), "load_age_ms", inputs.LoadAge.Milliseconds())
 	}
@@ -164,7 +167,7 @@
 	}
 	inputs := placed.Inputs()
 	_ = level.Info(x.gateway.logger).Log("event", "attempt failed", "request", x.call.ID, "upstream", placed.Upstream.ID,
-		"wait_ms", inputs.Wait.Milliseconds(), "work_ms", inputs.ServiceTime.Milliseconds(), "err", err)
+		"domain", placed.Upstream.FailureDomain, "region", placed.Region, "homes", x.homes(), "wait_ms", inputs.Wait.Milliseconds(), "work_ms", inputs.ServiceTime.Milliseconds(), "err", err)
 }
 
 // recordLimit passes the request limit in a response on to the placement. A response
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -299,20 +299,14 @@
 		LatencyObjective: x.route.LatencyObjective,
 		Tried:            x.triedUpstreams,
 	}
-	if regions, restricted := routing.HomeRegions(x.route, x.account); restricted {
-		request.RegionAllowed = func(region string) bool { return containsString(regions, region) }
+	if homes := x.homes(); homes.Restricted() {
+		request.RegionAllowed = homes.Allows
 	}
 	return request
 }
 
-func containsString(all []string, one string) bool {
-	for _, each := range all {
-		if each == one {
-			return true
-		}
-	}
-	return false
-}
+// homes returns the homes of the request under the policy in which its route was looked up last.
+func (x *exchange) homes() routing.Homes { return routing.HomesOf(x.route, x.account) }
 
 // dispatch sends the request to one upstream after another until one responds, and
 // delivers the response. If none does, it returns the problem to respond with.
--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -14,7 +14,6 @@
 	"peridotrail/internal/fleet/relay"
 	"peridotrail/internal/http1"
 	"peridotrail/internal/problem"
-	"peridotrail/internal/routing"
 )
 
 const (
@@ -45,8 +44,8 @@
 		return attemptOutcome{}, false
 	}
 	var regionAllowed func(string) bool
-	if regions, restricted := routing.HomeRegions(x.route, x.account); restricted {
-		regionAllowed = func(region string) bool { return containsString(regions, region) }
+	if homes := x.homes(); homes.Restricted() {
+		regionAllowed = homes.Allows
 	}
 	for x.mayRelay() {
 		if !x.payload.Rewind() {
@@ -208,5 +207,5 @@
 		return
 	}
 	_ = level.Info(x.gateway.logger).Log("event", "request relayed", "request", x.call.ID, "peer", peer.host.Name, "domain", peer.host.FailureDomain,
-		"result", string(result), "took_ms", boottime.Now().Sub(began).Milliseconds(), "detail", detail)
+		"region", peer.host.Region, "homes", x.homes(), "result", string(result), "took_ms", boottime.Now().Sub(began).Milliseconds(), "detail", detail)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -171,6 +171,7 @@
 	switch {
 	case reply.Moved:
 		outcome = placement.OutcomeMoved
+		x.logAnnouncement("address of another upstream", placed, "address", placed.Upstream.Address, "region", placed.Region, "homes", x.homes())
 	case reply.Rest.Duration > 0:
 		outcome = placement.OutcomeRest
 	}
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -11,7 +11,8 @@
 // exactly once.
 type Placement struct {
 	Upstream catalog.Upstream
-	Remote   bool // the upstream is in another region
+	Region   string // of the upstream
+	Remote   bool   // the upstream is in another region
 
 	pool        *Pool
 	service     *service
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -190,7 +190,7 @@
 	}
 	u := best.upstream
 	placement := Placement{
-		Upstream: u.Upstream, Remote: u.region != p.settings.Region,
+		Upstream: u.Upstream, Region: u.region, Remote: u.region != p.settings.Region,
 		pool: p, service: s, chosen: best, request: request, start: now, cold: u.cold(now), coldLimited: p.isLimited(u, now), limit: best.limit,
 		load: u.occupancy(now), loadAge: now.Sub(u.upstreamLoadAt),
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -123,6 +123,17 @@
 	return nil
 }
 
+// HomesOfName returns the regions that are homes of every route of a host name, which may include
+// a port: whichever route a request takes, they may serve it unless its client account has other
+// homes. known is false if there is no route.
+func (t *Table) HomesOfName(host string) (homes Homes, known bool) {
+	routes := t.routes[hostName(host)]
+	for _, route := range routes {
+		homes = homes.And(NewHomes(route.HomeRegions))
+	}
+	return homes, len(routes) > 0
+}
+
 // hostName returns a host without its port.
 func hostName(host string) string {
 	name, _, _ := strings.Cut(host, ":")
@@ -143,23 +154,5 @@
 	return t.accountsByKey[sha256.Sum256([]byte(key))]
 }
 
-// HomeRegions returns the regions that may serve a request of account on route.
-// restricted is false if all regions may. account may be nil.
-func HomeRegions(route *Route, account *Account) (regions []string, restricted bool) {
-	if account == nil || len(account.HomeRegions) == 0 {
-		return route.HomeRegions, len(route.HomeRegions) > 0
-	}
-	if len(route.HomeRegions) == 0 {
-		return account.HomeRegions, true
-	}
-	common := make([]string, 0, len(route.HomeRegions))
-	for _, region := range route.HomeRegions {
-		if slices.Contains(account.HomeRegions, region) {
-			common = append(common, region)
-		}
-	}
-	return common, true
-}
-
 // Accounts returns all client accounts. The slice must not be changed.
 func (t *Table) Accounts() []Account { return t.accounts }
