--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -208,31 +208,27 @@
 // refused for the moment only. proof is the instant at which the view was last proved current
 // before the policy was read.
 func (x *exchange) refuseForGood(t problem.Type, detail string, proof boottime.Instant) *problem.Problem {
-	now := boottime.Now()
-	reason := x.gateway.state.keysOutdated(now)
-	if age := now.Sub(proof); reason == "" && age > x.gateway.settings.get().PolicyDelay {
-		if !x.proofAwaited && x.awaitProof(now) {
-			return x.authorise()
-		}
-		reason = "the policy was last proved current " + age.String() + " ago"
-	}
-	if reason != "" {
-		return notRunProblem(problem.TypeNotReady, detail+", but "+reason).WithRetryAfter(otherHostRetryAfter)
+	doubt, renewed := x.policyDoubt(proof)
+	switch {
+	case renewed:
+		return x.authorise()
+	case doubt != "":
+		return notRunProblem(problem.TypeNotReady, detail+", but "+doubt).WithRetryAfter(otherHostRetryAfter)
 	}
 	return notRunProblem(t, detail)
 }
 
-// proofWait is how long a request waits for a proof that the policy is current. It has room for a
-// call to a store in a distant region.
-const proofWait = 250 * time.Millisecond
-
-// awaitProof waits until the policy is proved to have been current at an instant. It reports false
-// if there is no such proof in time.
-func (x *exchange) awaitProof(at boottime.Instant) bool {
-	x.proofAwaited = true
-	ctx, cancel := context.WithTimeout(x.ctx, proofWait)
-	defer cancel()
-	return x.gateway.replica.AwaitProof(ctx, at)
+// policyDoubt returns why a newer policy may be in force at other hosts, empty if that is not so.
+// It may wait once for a request; renewed then tells that the policy has been proved current
+// meanwhile, so that it must be read again.
+func (x *exchange) policyDoubt(proof boottime.Instant) (reason string, renewed bool) {
+	now := boottime.Now()
+	reason, stale := x.gateway.policyDoubt(proof, now)
+	if stale && !x.proofAwaited {
+		x.proofAwaited = true
+		renewed = x.gateway.awaitProof(x.ctx, now)
+	}
+	return reason, renewed
 }
 
 // mayRepeat reports whether a request that may have run may be sent to another upstream: every
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -248,6 +248,31 @@
 	return age, proof != 0 && age < g.settings.get().KeyAge-keyAgeMargin && g.state.keysOutdated(now) == ""
 }
 
+// policyDoubt returns why a newer policy than the one that was in force here at an instant after
+// proof may be in force at other hosts, empty if that is not so. stale tells that the only reason
+// is the age of the proof.
+func (g *Gateway) policyDoubt(proof, now boottime.Instant) (reason string, stale bool) {
+	if reason := g.state.keysOutdated(now); reason != "" {
+		return reason, false
+	}
+	if age := now.Sub(proof); age > g.settings.get().PolicyDelay {
+		return "the policy was last proved current " + age.String() + " ago", true
+	}
+	return "", false
+}
+
+// proofWait is how long a request or look-up waits for a proof that the policy is current. It has
+// room for a call to a store in a distant region.
+const proofWait = 250 * time.Millisecond
+
+// awaitProof waits until the policy is proved to have been current at an instant. It reports false
+// if there is no such proof within proofWait.
+func (g *Gateway) awaitProof(ctx context.Context, at boottime.Instant) bool {
+	ctx, cancel := context.WithTimeout(ctx, proofWait)
+	defer cancel()
+	return g.replica.AwaitProof(ctx, at)
+}
+
 // Reload replaces the settings. The name, failure domain, region and listen
 // addresses of a running host stay as they are; a change of these is logged. It
 // may be called while Run is running, but not concurrently with itself.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"testing"
 
 	"github.com/go-kit/log"
@@ -29,35 +28,6 @@
 	require.Zero(t, counts["a"])
 }
 
-// hostsOf returns hosts h0, h1 and so on, one in each of the failure domains.
-func hostsOf(domains ...string) []catalog.Host {
-	regions := map[string]string{"w1": "west", "w2": "west", "e1": "east"}
-	var hosts []catalog.Host
-	for i, domain := range domains {
-		hosts = append(hosts, catalog.Host{Name: fmt.Sprintf("h%d", i), EntryAddress: fmt.Sprintf("a%d", i), FailureDomain: domain, Region: regions[domain]})
-	}
-	return hosts
-}
-
-func TestNearestHosts(t *testing.T) {
-	all := hostsOf("w1", "w2", "e1", "w1")
-	cases := []struct {
-		name   string
-		hosts  []catalog.Host
-		lookup Lookup
-		want   []string
-	}{
-		{"two in the domain", all, Lookup{Region: "west", FailureDomain: "w1"}, []string{"a0", "a3"}},
-		{"one in the domain, more in the region", all, Lookup{Region: "west", FailureDomain: "w2"}, []string{"a0", "a1", "a3"}},
-		{"one in the region", all, Lookup{Region: "east", FailureDomain: "e1"}, []string{"a2"}},
-		{"none in the region", all, Lookup{Region: "north", FailureDomain: "n1"}, []string{"a0", "a1", "a2", "a3"}},
-		{"none at all", nil, Lookup{Region: "west", FailureDomain: "w1"}, nil},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) { require.ElementsMatch(t, c.want, entryAddresses(nearestHosts(c.hosts, c.lookup))) })
-	}
-}
-
 func TestNewestIncarnationOfHostIsKept(t *testing.T) {
 	hosts := newestIncarnations([]catalog.Host{{Name: "h", EntryAddress: "old", Incarnation: 1}, {Name: "h", EntryAddress: "new", Incarnation: 2}, {Name: "g"}})
 	require.Len(t, hosts, 2)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -72,6 +72,11 @@
 	m.latency.Update(duration.Microseconds())
 }
 
+// countLookup counts a look-up by a special outcome.
+func (m *requestMetrics) countLookup(outcome string) {
+	metrics.GetOrRegisterCounter("lookup."+outcome, m.registry).Inc(1)
+}
+
 // countAttempt counts an attempt at an upstream by its result.
 func (m *requestMetrics) countAttempt(result string) {
 	metrics.GetOrRegisterCounter("attempt.result."+result, m.registry).Inc(1)
