gateway: a request with homes needs a policy that is known to be current

A host that no longer heard of the policy went on to send requests of open routes to the regions that had been their homes: only keys needed a recent proof, for up to 4.6 s with the usual settings. Homes bind hosts with an outdated view too. A request that has homes under the known policy now needs a proof within PolicyDelay; it waits up to 250 ms for one, as refusals for good do, and is else refused with 503 and Retry-After. Requests without homes are served as before. A request whose route and account have no home in common says so. TestRequestWithHomesIsNotSentUnderAnOutdatedPolicy: status 200 before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -200,7 +200,30 @@
 	case x.account == nil && !x.route.Open:
 		return x.refuseForGood(problem.TypeUnauthenticated, "the key is unknown", proof)
 	}
-	return x.checkKeysCurrent()
+	if rejection := x.checkKeysCurrent(); rejection != nil {
+		return rejection
+	}
+	return x.checkHomes(proof)
+}
+
+// checkHomes rejects a request that no region may serve, and one with homes unless the policy is
+// known to be current: a newer one may have moved them. proof is the instant at which the view was
+// last proved current before the policy was read.
+func (x *exchange) checkHomes(proof boottime.Instant) *problem.Problem {
+	homes := x.homes()
+	if !homes.Restricted() {
+		return nil
+	}
+	doubt, renewed := x.policyDoubt(proof)
+	switch {
+	case renewed:
+		return x.authorise()
+	case doubt != "":
+		return notRunProblem(problem.TypeNotReady, "the request has homes, but "+doubt).WithRetryAfter(otherHostRetryAfter)
+	case homes.Empty():
+		return unusableProblem("route " + x.route.Name + " and client account " + x.accountName() + " have no home region in common")
+	}
+	return nil
 }
 
 // refuseForGood returns the problem for a request that the policy in force does not allow. Callers
