gateway: homes are checked again when a request has its connection

A request waits for a connection to the upstream that was chosen for it. If a policy that moves its homes came into force meanwhile, it was sent to the former home all the same; keys, repeats and leaving upstreams were checked again there, homes were not.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -18,6 +18,7 @@
 	"peridotrail/internal/invariant"
 	"peridotrail/internal/placement"
 	"peridotrail/internal/problem"
+	"peridotrail/internal/routing"
 )
 
 // result is the result of one attempt at an upstream. Its text is part of a metric
@@ -114,6 +115,33 @@
 // while it waited for a connection. Nothing was sent.
 var errRepeatForbidden = errors.New("the policy in force now does not allow that the request runs again")
 
+// HomesError reports that an upstream was no longer known to be in a home of the request when the
+// request had its connection: the policy changed meanwhile, or may have. Nothing was sent.
+type HomesError struct {
+	Upstream, Region string
+	Homes            routing.Homes
+	ProofAge         time.Duration
+}
+
+// Error implements error.
+func (e *HomesError) Error() string {
+	return fmt.Sprintf("upstream %s is in %s, the homes were %s %v ago", e.Upstream, e.Region, e.Homes, e.ProofAge)
+}
+
+// homesInForce returns the homes of the request under the policy in force now. A request that this
+// policy does not allow keeps those it had.
+func (x *exchange) homesInForce() routing.Homes {
+	table := x.gateway.state.table.Load()
+	if table == x.table {
+		return x.homes()
+	}
+	route := table.Route(x.request.Host, x.request.URL.Path)
+	if route == nil {
+		return x.homes()
+	}
+	return routing.HomesOf(route, table.AccountByKey(x.call.Key))
+}
+
 // checkSend reports whether the request may still be sent, now that it has a connection.
 func (x *exchange) checkSend(placed *placement.Placement) error {
 	now := boottime.Now()
@@ -123,6 +151,12 @@
 	if age, current := x.gateway.keysCurrent(now); !current && !x.route.Open {
 		return &StaleKeysError{Age: age}
 	}
+	proof := x.gateway.replica.Proof()
+	if homes := x.homesInForce(); homes.Restricted() {
+		if doubt, _ := x.gateway.policyDoubt(proof, now); doubt != "" || !homes.Allows(placed.Region) {
+			return &HomesError{Upstream: placed.Upstream.ID, Region: placed.Region, Homes: homes, ProofAge: now.Sub(proof)}
+		}
+	}
 	return placed.CheckSend(now)
 }
 
@@ -208,7 +242,11 @@
 	}
 	var withheld *placement.WithheldError
 	var stale *StaleKeysError
-	if errors.As(err, &withheld) || errors.As(err, &stale) || errors.Is(err, errRepeatForbidden) {
+	var homes *HomesError
+	if errors.As(err, &homes) {
+		x.logFailedAttempt(placed, err)
+	}
+	if homes != nil || errors.As(err, &withheld) || errors.As(err, &stale) || errors.Is(err, errRepeatForbidden) {
 		placed.Done(placement.Report{Outcome: placement.OutcomeCancelled}, now)
 		return attemptOutcome{result: resultWithheld}
 	}
