placement: an upstream that moves is in its new region

An upstream kept its former region when its entry changed its failure domain alone, and when the settings file gave its failure domain another region, since regions were read once at the start. Requests were then sent outside their homes, and an evacuation of the new failure domain was not applied to it. The place is now compared like address and service, regions are those of the current settings, and a request that waits for a connection is not sent to an upstream that has moved meanwhile. TestUpstreamThatMovesIsInItsNewRegion fails without the comparison.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -106,7 +106,7 @@
 		Host:             initial.Host,
 		FailureDomain:    initial.FailureDomain,
 		Region:           initial.Region,
-		Regions:          initial.Regions,
+		Regions:          func(domain string) string { return settings.get().Regions[domain] },
 		LateScore:        lateScore,
 		CrossDomainCost:  crossDomainCost,
 		CrossRegionCost:  crossRegionCost,
--- a/internal/placement/announcement.go
+++ b/internal/placement/announcement.go
@@ -121,6 +121,9 @@
 	if u.announced.leaving {
 		return &WithheldError{Upstream: u.ID, Reason: ReasonLeaving}
 	}
+	if known := p.pool.upstreams[u.ID]; known != nil && known.region != u.region {
+		return &WithheldError{Upstream: u.ID, Reason: ReasonMoved}
+	}
 	return nil
 }
 
--- a/internal/placement/peers_bench_test.go
+++ b/internal/placement/peers_bench_test.go
@@ -11,7 +11,7 @@
 
 // One report of one of 32 hosts about 20 of 812 upstreams.
 func BenchmarkPeerReport(b *testing.B) {
-	pool, now := NewPool(Settings{Host: "h", FailureDomain: "w1", Region: "west", Regions: map[string]string{"w1": "west"}}), boottime.Instant(time.Second)
+	pool, now := NewPool(Settings{Host: "h", FailureDomain: "w1", Region: "west", Regions: regionsFrom(map[string]string{"w1": "west"})}), boottime.Instant(time.Second)
 	var entries []catalog.Upstream
 	for i := range 812 {
 		entries = append(entries, catalog.Upstream{ID: fmt.Sprintf("i-%d", i), Service: "s", Address: "127.0.0.1:1", FailureDomain: "w1", Slots: 9})
--- a/internal/placement/peers_test.go
+++ b/internal/placement/peers_test.go
@@ -17,7 +17,7 @@
 func TestPeerRequestsEqualTheSumOfValidReports(t *testing.T) {
 	const validFor = 500 * time.Millisecond
 	rapid.Check(t, func(t *rapid.T) {
-		pool, now := NewPool(Settings{Host: "h", FailureDomain: "w1", Region: "west", Regions: map[string]string{"w1": "west"}}), boottime.Instant(time.Second)
+		pool, now := NewPool(Settings{Host: "h", FailureDomain: "w1", Region: "west", Regions: regionsFrom(map[string]string{"w1": "west"})}), boottime.Instant(time.Second)
 		type report struct {
 			at     boottime.Instant
 			counts map[string]int
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -27,12 +27,12 @@
 	Host            string // name of this host
 	FailureDomain   string
 	Region          string
-	Regions         map[string]string // region of each failure domain
-	LateScore       float64           // score of a response after the latency objective
-	CrossDomainCost float64           // per kilobyte that leaves the failure domain
-	CrossRegionCost float64           // additional cost per kilobyte that leaves the region
-	RegionRoundTrip time.Duration     // to another region
-	MaxShift        float64           // largest growth of the fraction of requests that leave the region, per shiftWindow
+	Regions         func(domain string) string // region of a failure domain, empty if it is not known
+	LateScore       float64                    // score of a response after the latency objective
+	CrossDomainCost float64                    // per kilobyte that leaves the failure domain
+	CrossRegionCost float64                    // additional cost per kilobyte that leaves the region
+	RegionRoundTrip time.Duration              // to another region
+	MaxShift        float64                    // largest growth of the fraction of requests that leave the region, per shiftWindow
 	// ColdLimit returns how many requests this host may send to a cold upstream within
 	// one second. limited is false if there is no limit.
 	ColdLimit func(u catalog.Upstream, now boottime.Instant) (requests int, limited bool)
@@ -92,8 +92,8 @@
 }
 
 // SetUpstreams replaces the set of upstreams and the set of evacuated failure
-// domains. The state of an upstream is kept unless its address, service or
-// incarnation has changed.
+// domains. The state of an upstream is kept unless its address, service, incarnation or
+// place has changed.
 func (p *Pool) SetUpstreams(entries []catalog.Upstream, evacuated map[string]bool, now boottime.Instant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -104,10 +104,10 @@
 		s.all = nil
 	}
 	for _, entry := range entries {
-		known := p.upstreams[entry.ID]
+		known, region := p.upstreams[entry.ID], p.settings.Regions(entry.FailureDomain)
 		u := known
-		if known == nil || known.Address != entry.Address || known.Service != entry.Service || known.Incarnation != entry.Incarnation {
-			region := p.settings.Regions[entry.FailureDomain]
+		if known == nil || known.Address != entry.Address || known.Service != entry.Service || known.Incarnation != entry.Incarnation ||
+			known.FailureDomain != entry.FailureDomain || known.region != region {
 			u = newUpstream(entry, region, p.service(entry.Service).averageLoad(region), p.sendCount(entry.ID), p.limitRecord(entry.ID, entry.Incarnation, now), p.announcementsOf(entry.ID, entry.Incarnation))
 			u.ColdUntil = 0
 			u.peerRequests = float64(p.peerRequests[entry.ID])
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -17,6 +17,11 @@
 
 var testRegions = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
 
+// regionsFrom returns a Settings.Regions that reads a map.
+func regionsFrom(regions map[string]string) func(string) string {
+	return func(domain string) string { return regions[domain] }
+}
+
 func entry(id, domain string) catalog.Upstream {
 	return catalog.Upstream{ID: id, Service: "s", Address: id, FailureDomain: domain, Slots: 4}
 }
@@ -33,7 +38,7 @@
 
 func poolOf(change func(*Settings), entries ...catalog.Upstream) *Pool {
 	s := Settings{
-		FailureDomain: "a1", Region: "a", Regions: testRegions, LateScore: 0.2, CrossDomainCost: 0.03, CrossRegionCost: 0.03,
+		FailureDomain: "a1", Region: "a", Regions: regionsFrom(testRegions), LateScore: 0.2, CrossDomainCost: 0.03, CrossRegionCost: 0.03,
 		RegionRoundTrip: 24 * time.Millisecond, MaxShift: 0.1,
 		ViewProof: func() boottime.Instant { return math.MaxInt64 }, ColdLimit: limitOf(3), LimitUnits: allUnits, LimitRecordDelay: func(catalog.Upstream) time.Duration { return 0 }, ColdStart: func(string) time.Duration { return 3 * time.Second },
 	}
@@ -59,6 +64,35 @@
 	return refused
 }
 
+// An upstream whose entry changed its failure domain alone, or whose failure domain was moved to another region, kept
+// its former region: requests went outside their homes.
+func TestUpstreamThatMovesIsInItsNewRegion(t *testing.T) {
+	regions := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+	p := poolOf(func(s *Settings) { s.Regions = regionsFrom(regions) }, entry("u", "b1"))
+	request := requestAt(t0)
+	request.RegionAllowed = func(region string) bool { return region == "b" }
+	place := func() (Placement, bool) {
+		placed, err := p.Place(request, t0)
+		return placed, err == nil
+	}
+	waiting, ok := place()
+	require.True(t, ok)
+	require.Equal(t, "b", waiting.Region)
+	p.SetUpstreams([]catalog.Upstream{entry("u", "a2")}, nil, t0)
+	var withheld *WithheldError
+	require.ErrorAs(t, waiting.CheckSend(t0), &withheld)
+	require.Equal(t, ReasonMoved, withheld.Reason)
+	_, ok = place()
+	require.False(t, ok, "the entry moved to another failure domain")
+	p.SetUpstreams([]catalog.Upstream{entry("u", "b1")}, nil, t0)
+	_, ok = place()
+	require.True(t, ok)
+	regions["b1"] = "a"
+	p.SetUpstreams([]catalog.Upstream{entry("u", "b1")}, nil, t0)
+	_, ok = place()
+	require.False(t, ok, "the failure domain moved to another region")
+}
+
 // placeMany places n requests at one instant, cancels each of them at once and
 // counts them by upstream.
 func placeMany(p *Pool, n int, now boottime.Instant) (counts map[string]int, refused int) {
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -191,7 +191,7 @@
 
 func newTestPool(domain string, regions map[string]string) *Pool {
 	return NewPool(Settings{
-		FailureDomain: domain, Region: regions[domain], Regions: regions,
+		FailureDomain: domain, Region: regions[domain], Regions: regionsFrom(regions),
 		LateScore: 0.2, CrossDomainCost: 0.03, CrossRegionCost: 0.03, RegionRoundTrip: 24 * time.Millisecond, MaxShift: 0.11,
 		ViewProof: func() boottime.Instant { return math.MaxInt64 },
 		ColdLimit: func(catalog.Upstream, boottime.Instant) (int, bool) { return 0, false }, ColdStart: func(string) time.Duration { return 0 },
