placement: a request with homes is offered to upstreams of its homes

Of a service with more than 24 upstreams only a sample is considered: four of the host's failure domain and three of all. The sample of such a request is taken from the upstreams in its homes.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -244,7 +244,7 @@
 func (p *Pool) bestCandidate(s *service, preferred *preferredUpstreams, object objectID, request *Request, now boottime.Instant) (candidate, RefusedError) {
 	refusal := RefusedError{Service: request.Service, Reason: ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter}
 	e := p.routeEstimate(request)
-	p.scratch = s.candidates(p.scratch[:0], preferred, object)
+	p.scratch = s.candidates(p.scratch[:0], preferred, object, request.RegionAllowed)
 	if len(p.scratch) < len(s.usable) && allResting(p.scratch, now) {
 		p.scratch = append(p.scratch[:0], s.usable...)
 	}
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"peridotrail/internal/boottime"
@@ -93,6 +95,37 @@
 	require.False(t, ok, "the failure domain moved to another region")
 }
 
+// A request whose homes were in other regions than its host was refused whenever the sample of a large service had no
+// upstream there.
+func TestRequestWithHomesIsOfferedToUpstreamsOfItsHomes(t *testing.T) {
+	for _, share := range []int{2, 3, 12} { // one in so many upstreams is in the home
+		var entries []catalog.Upstream
+		for i, n := range rand.New(rand.NewPCG(1, 0)).Perm(144) {
+			domain := "a1"
+			if i%share == 0 {
+				domain = "b1"
+			}
+			entries = append(entries, entry(fmt.Sprintf("u%03d", n), domain))
+		}
+		p := poolOf(nil, entries...)
+		refused, used := 0, map[string]bool{}
+		for range 600 {
+			request := requestAt(t0)
+			request.RegionAllowed = func(region string) bool { return region == "b" }
+			placed, err := p.Place(request, t0)
+			if err != nil {
+				refused++
+				continue
+			}
+			require.Equal(t, "b", placed.Region)
+			used[placed.Upstream.ID] = true
+			placed.Done(Report{Outcome: OutcomeCancelled}, t0)
+		}
+		assert.Zero(t, refused, "one upstream in %d is in the home", share)
+		assert.Greater(t, len(used), 144/share*2/3, "the sample rotates")
+	}
+}
+
 // placeMany places n requests at one instant, cancels each of them at once and
 // counts them by upstream.
 func placeMany(p *Pool, n int, now boottime.Instant) (counts map[string]int, refused int) {
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -143,8 +143,9 @@
 
 // candidates appends the upstreams to score: all upstreams of a small service,
 // otherwise the preferred upstreams of the object, those it was sent to before and
-// a rotating sample that begins with this host's failure domain.
-func (s *service) candidates(list []*upstream, preferred *preferredUpstreams, object objectID) []*upstream {
+// a rotating sample that begins with this host's failure domain. If regionAllowed is not nil,
+// the sample is of upstreams in allowed regions.
+func (s *service) candidates(list []*upstream, preferred *preferredUpstreams, object objectID, regionAllowed func(string) bool) []*upstream {
 	if len(s.usable) <= fullScanLimit {
 		return append(list, s.usable...)
 	}
@@ -160,11 +161,19 @@
 		}
 	}
 	s.rotation++
-	for i := range min(localSample, len(s.local)) {
-		list = appendNew(list, s.local[(s.rotation*localSample+i)%len(s.local)])
+	sample := remoteSample
+	if len(s.local) > 0 && (regionAllowed == nil || regionAllowed(s.local[0].region)) {
+		for i := range min(localSample, len(s.local)) {
+			list = appendNew(list, s.local[(s.rotation*localSample+i)%len(s.local)])
+		}
+	} else if regionAllowed != nil {
+		sample += localSample
 	}
-	for i := range remoteSample {
-		list = appendNew(list, s.usable[(s.rotation*remoteSample+i)%len(s.usable)])
+	for i, found := 0, 0; i < len(s.usable) && found < sample; i++ {
+		if u := s.usable[(s.rotation*sample+i)%len(s.usable)]; regionAllowed == nil || regionAllowed(u.region) {
+			list = appendNew(list, u)
+			found++
+		}
 	}
 	return list
 }
