gateway: a proof whose call was under way serves a request that waits for one

Requests with homes, look-ups and refusals for good that found the last proof too old waited for one of a call sent after their arrival, so that a call under way did not count and the wait of 250 ms was too short for two calls.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -265,12 +265,13 @@
 // room for a call to a store in a distant region.
 const proofWait = 250 * time.Millisecond
 
-// awaitProof waits until the policy is proved to have been current at an instant. It reports false
-// if there is no such proof within proofWait.
-func (g *Gateway) awaitProof(ctx context.Context, at boottime.Instant) bool {
+// awaitProof waits for a proof of the policy that policyDoubt accepts for proofWait after now. The
+// response to a call that was sent before now may be one. It reports false if there is no such
+// proof within proofWait.
+func (g *Gateway) awaitProof(ctx context.Context, now boottime.Instant) bool {
 	ctx, cancel := context.WithTimeout(ctx, proofWait)
 	defer cancel()
-	return g.replica.AwaitProof(ctx, at)
+	return g.replica.AwaitProof(ctx, now.Add(-max(0, g.settings.get().PolicyDelay-proofWait)))
 }
 
 // Reload replaces the settings. The name, failure domain, region and listen
