replica: proofs for requests with homes are asked for before the last one is too old

A request whose proof became too old while it waited for a connection to the only upstream of its homes was refused, since that counted as tried: 3 of 3 (TestRequestWithHomesIsOfferedAgainToItsOnlyUpstream), now 0 of 3. Hosts that follow others have their proofs from them and make no more calls.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -214,6 +214,7 @@
 	if !homes.Restricted() {
 		return nil
 	}
+	x.gateway.replica.NeedProof()
 	doubt, renewed := x.policyDoubt(proof)
 	switch {
 	case renewed:
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -26,6 +26,9 @@
 	// followedProofFraction of MaxDelay is the proof interval of a followed host. It
 	// is below staleProofFraction so that followers get a new proof in time.
 	followedProofFraction = 0.45
+	// neededProofFraction of MaxDelay is the proof interval while decisions need proofs no older than
+	// MaxDelay. It leaves time for a call to a store that is slower than slowCallFraction.
+	neededProofFraction = 0.7
 	// requestWaitFraction of MaxDelay is how long a request waits for a change. Its
 	// response may take as long again.
 	requestWaitFraction = 0.1
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -83,6 +83,7 @@
 	cutOff        atomic.Bool   // this host reaches neither the store nor a substitute
 	endedOutages  atomic.Uint64 // number of outages of the store that have ended
 	lastRequestAt atomic.Int64  // boottime.Instant of the last request from another replica
+	neededAt      atomic.Int64  // boottime.Instant of the last call of NeedProof
 	proveAtOnce   atomic.Bool   // the next proof does not wait until it is due
 
 	watchNow  chan struct{} // ends the pause between two watches
@@ -120,6 +121,16 @@
 // for long. It is safe for concurrent use.
 func (r *Replica) StoreDoubted() bool { return r.storeDoubted.Load() }
 
+// NeedProof records that decisions need a proof no older than MaxDelay. For that time from now on the
+// next proof is asked for early enough that a slow call ends before the last proof is too old. It is
+// safe for concurrent use.
+func (r *Replica) NeedProof() {
+	before := boottime.Instant(r.neededAt.Swap(int64(r.options.Clock())))
+	if r.options.Clock().Sub(before) > r.options.MaxDelay {
+		signal(r.proveNow) // the next proof is due at another time
+	}
+}
+
 // AwaitProof asks the store for a proof and waits until the view is proved to have been current
 // at an instant. It reports false when ctx ends, and at once if the store is known not to
 // respond. It is safe for concurrent use.
@@ -371,13 +382,20 @@
 	}
 }
 
-// proofInterval returns the time between two proofs. It is shorter while other hosts
-// follow this one, unless this one has its proofs from another host, too.
+// proofInterval returns the time between two proofs. It is shorter while other hosts follow this one or
+// decisions need recent proofs, unless this one has its proofs from another host, too.
 func (r *Replica) proofInterval() time.Duration {
-	if r.hasFollowers(r.options.Clock()) && r.FollowedHost() == "" {
-		return min(r.options.ProofInterval, fractionOf(r.options.MaxDelay, followedProofFraction))
+	now, interval := r.options.Clock(), r.options.ProofInterval
+	if r.FollowedHost() != "" {
+		return interval
+	}
+	if now.Sub(boottime.Instant(r.neededAt.Load())) <= r.options.MaxDelay {
+		interval = min(interval, fractionOf(r.options.MaxDelay, neededProofFraction))
+	}
+	if r.hasFollowers(now) {
+		interval = min(interval, fractionOf(r.options.MaxDelay, followedProofFraction))
 	}
-	return r.options.ProofInterval
+	return interval
 }
 
 func (r *Replica) proveOnce(ctx context.Context) bool {
