--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -40,14 +40,14 @@
 // relay asks other hosts to send the request until one does. ok is false if none did; the
 // request has not run then.
 func (x *exchange) relay(ctx context.Context) (outcome attemptOutcome, ok bool) {
-	if !x.mayRelay() || x.authoriseAttempt() != nil {
-		return attemptOutcome{}, false
-	}
-	var regionAllowed func(string) bool
-	if homes := x.homes(); homes.Restricted() {
-		regionAllowed = homes.Allows
-	}
 	for x.mayRelay() {
+		if x.authoriseAttempt() != nil { // also between two hosts: the policy may change while one is asked
+			return attemptOutcome{}, false
+		}
+		var regionAllowed func(string) bool
+		if homes := x.homes(); homes.Restricted() {
+			regionAllowed = homes.Allows
+		}
 		if !x.payload.Rewind() {
 			break
 		}
