routing: a host name's case of letters and final dot don't matter

Names in look-ups and Host headers were compared as they are spelled. A look-up of Homed.Example or homed.example. was one of an unknown name, for which all hosts are named if the caller's region has none, whatever the homes of homed.example; a request with such a Host header got 404.

--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -76,7 +76,8 @@
 		}
 	}
 	r.MaxAttempts = max(r.MaxAttempts, 1)
-	t.routes[r.Host] = append(t.routes[r.Host], r)
+	name := hostName(r.Host)
+	t.routes[name] = append(t.routes[name], r)
 }
 
 // unusable returns why no request on a route can be served, empty if requests can be.
@@ -134,10 +135,11 @@
 	return homes, len(routes) > 0
 }
 
-// hostName returns a host without its port.
+// hostName returns the name by which routes are found: a host without its port, in lower case and
+// without the dot that may end a full name.
 func hostName(host string) string {
 	name, _, _ := strings.Cut(host, ":")
-	return name
+	return strings.ToLower(strings.TrimSuffix(name, "."))
 }
 
 // Service returns a service, or nil if it does not exist.
