--- a/internal/gateway/lookup.go
+++ b/internal/gateway/lookup.go
@@ -105,6 +105,9 @@
 	}
 	now := boottime.Now()
 	found, stale := read(now)
+	if found.homes.Restricted() || !found.known {
+		g.replica.NeedProof()
+	}
 	if stale && g.awaitProof(ctx, now) {
 		found, _ = read(boottime.Now())
 	}
