--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -144,20 +144,18 @@
 // candidates appends the upstreams to score: all upstreams of a small service,
 // otherwise the preferred upstreams of the object, those it was sent to before and
 // a rotating sample that begins with this host's failure domain. If regionAllowed is not nil,
-// the sample is of upstreams in allowed regions.
+// those of a large service are in allowed regions only.
 func (s *service) candidates(list []*upstream, preferred *preferredUpstreams, object objectID, regionAllowed func(string) bool) []*upstream {
 	if len(s.usable) <= fullScanLimit {
 		return append(list, s.usable...)
 	}
 	if preferred != nil {
-		for _, u := range preferred.byRegion {
-			list = appendNew(list, u)
-		}
-		for _, u := range preferred.byDomain {
-			list = appendNew(list, u)
-		}
-		for _, u := range s.sentTo[object] {
-			list = appendNew(list, u)
+		for _, known := range [...][]*upstream{preferred.byRegion, preferred.byDomain, s.sentTo[object]} {
+			for _, u := range known {
+				if regionAllowed == nil || regionAllowed(u.region) {
+					list = appendNew(list, u)
+				}
+			}
 		}
 	}
 	s.rotation++
