gateway: homes are checked again when a connection to a host that sends the request is open

The check of requests to upstreams is used for hosts, too; a host that gets nothing for this reason is not avoided. HomesError.Upstream is now Receiver.

--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/boottime"
@@ -79,8 +80,13 @@
 		Service: x.service, Idempotent: x.mayRepeat(), Counted: x.counted,
 		ElapsedMs: boottime.Now().Sub(x.start).Milliseconds(),
 	}
-	response, err := x.gateway.relays.client.Send(peer.address, metadata, x.relayedRequest(ctx))
+	checked := context.WithValue(ctx, relayCheckKey{}, func() error { return x.checkHomesInForce(peer.host.Name, peer.host.Region) })
+	response, err := x.gateway.relays.client.Send(peer.address, metadata, x.relayedRequest(checked))
 	if err != nil {
+		var homes *HomesError
+		if errors.As(err, &homes) {
+			return attemptOutcome{result: resultNotRun}, false, err.Error()
+		}
 		if ctx.Err() != nil {
 			return attemptOutcome{result: resultCancelled}, false, err.Error()
 		}
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -70,14 +70,30 @@
 	return r, nil
 }
 
+// relayCheckKey is the context key of a func() error that is called when a stream is open. Unless it returns
+// nil, nothing is sent on the stream.
+type relayCheckKey struct{}
+
 // openTimeout limits the time to open a stream.
 type openTimeout struct{ fleet.Streamer }
 
 // OpenStream implements fleet.Streamer.
 func (o openTimeout) OpenStream(ctx context.Context, address netip.AddrPort, kind fleet.Kind) (fleet.Stream, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayOpenTimeout)
+	opening, cancel := context.WithTimeout(ctx, relayOpenTimeout)
 	defer cancel()
-	return o.Streamer.OpenStream(ctx, address, kind)
+	stream, err := o.Streamer.OpenStream(opening, address, kind)
+	if err != nil {
+		return nil, err
+	}
+	if check, ok := ctx.Value(relayCheckKey{}).(func() error); ok {
+		if err := check(); err != nil {
+			stream.CancelRead(fleet.CancelAbandoned)
+			stream.CancelWrite(fleet.CancelAbandoned)
+			_ = stream.Close() // nothing was sent
+			return nil, err
+		}
+	}
+	return stream, nil
 }
 
 // run serves the requests of other hosts until ctx ends.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -115,17 +115,19 @@
 // while it waited for a connection. Nothing was sent.
 var errRepeatForbidden = errors.New("the policy in force now does not allow that the request runs again")
 
-// HomesError reports that an upstream was no longer known to be in a home of the request when the
-// request had its connection: the policy changed meanwhile, or may have. Nothing was sent.
+// HomesError reports that an upstream, or a host that was to send the request, was not known to be in a
+// home of the request when the request had its connection: the policy changed meanwhile, or may have.
+// Nothing was sent.
 type HomesError struct {
-	Upstream, Region string
-	Homes            routing.Homes
-	ProofAge         time.Duration
+	Receiver string // name of the upstream or host
+	Region   string // of the receiver
+	Homes    routing.Homes
+	ProofAge time.Duration
 }
 
 // Error implements error.
 func (e *HomesError) Error() string {
-	return fmt.Sprintf("upstream %s is in %s, the homes were %s %v ago", e.Upstream, e.Region, e.Homes, e.ProofAge)
+	return fmt.Sprintf("%s is in %s, the homes were %s %v ago", e.Receiver, e.Region, e.Homes, e.ProofAge)
 }
 
 // homesInForce returns the homes of the request under the policy in force now. A request that this
@@ -151,13 +153,22 @@
 	if age, current := x.gateway.keysCurrent(now); !current && !x.route.Open {
 		return &StaleKeysError{Age: age}
 	}
-	proof := x.gateway.replica.Proof()
+	if err := x.checkHomesInForce(placed.Upstream.ID, placed.Region); err != nil {
+		return err
+	}
+	return placed.CheckSend(now)
+}
+
+// checkHomesInForce returns a *HomesError unless a region is known to be a home of the request now.
+// receiver is the upstream or host there that is to receive the request.
+func (x *exchange) checkHomesInForce(receiver, region string) error {
+	now, proof := boottime.Now(), x.gateway.replica.Proof()
 	if homes := x.homesInForce(); homes.Restricted() {
-		if doubt, _ := x.gateway.policyDoubt(proof, now); doubt != "" || !homes.Allows(placed.Region) {
-			return &HomesError{Upstream: placed.Upstream.ID, Region: placed.Region, Homes: homes, ProofAge: now.Sub(proof)}
+		if doubt, _ := x.gateway.policyDoubt(proof, now); doubt != "" || !homes.Allows(region) {
+			return &HomesError{Receiver: receiver, Region: region, Homes: homes, ProofAge: now.Sub(proof)}
 		}
 	}
-	return placed.CheckSend(now)
+	return nil
 }
 
 // assertMaySend checks the invariants that must hold when a request is sent.
