--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
 	"peridotrail/internal/boottime"
@@ -40,14 +41,14 @@
 // relay asks other hosts to send the request until one does. ok is false if none did; the
 // request has not run then.
 func (x *exchange) relay(ctx context.Context) (outcome attemptOutcome, ok bool) {
-	if !x.mayRelay() || x.authoriseAttempt() != nil {
-		return attemptOutcome{}, false
-	}
-	var regionAllowed func(string) bool
-	if homes := x.homes(); homes.Restricted() {
-		regionAllowed = homes.Allows
-	}
 	for x.mayRelay() {
+		if x.authoriseAttempt() != nil { // also between two hosts: the policy may change while one is asked
+			return attemptOutcome{}, false
+		}
+		var regionAllowed func(string) bool
+		if homes := x.homes(); homes.Restricted() {
+			regionAllowed = homes.Allows
+		}
 		if !x.payload.Rewind() {
 			break
 		}
@@ -79,8 +80,13 @@
 		Service: x.service, Idempotent: x.mayRepeat(), Counted: x.counted,
 		ElapsedMs: boottime.Now().Sub(x.start).Milliseconds(),
 	}
-	response, err := x.gateway.relays.client.Send(peer.address, metadata, x.relayedRequest(ctx))
+	checked := context.WithValue(ctx, relayCheckKey{}, func() error { return x.checkHomesInForce(peer.host.Name, peer.host.Region) })
+	response, err := x.gateway.relays.client.Send(peer.address, metadata, x.relayedRequest(checked))
 	if err != nil {
+		var homes *HomesError
+		if errors.As(err, &homes) {
+			return attemptOutcome{result: resultNotRun}, false, err.Error()
+		}
 		if ctx.Err() != nil {
 			return attemptOutcome{result: resultCancelled}, false, err.Error()
 		}
