gateway: hosts are in the regions of their failure domains

New settings that moved a failure domain to another region applied to its upstreams at once, but its hosts stayed in the region that they had registered with, and look-ups named them there: requests of callers of the former region went through one that is neither a home nor theirs. Each host now goes by its own settings for hosts as for upstreams. TestHostsAreInTheRegionOfTheirFailureDomainAfterAReload failed before.

--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -55,6 +55,17 @@
 	return hosts
 }
 
+// inRegions sets the regions of hosts to those of their failure domains, as for upstreams. A host whose
+// failure domain was moved by a change of the settings says otherwise until it starts again.
+func inRegions(hosts []catalog.Host, regions map[string]string) []catalog.Host {
+	for i := range hosts {
+		if region := regions[hosts[i].FailureDomain]; region != "" {
+			hosts[i].Region = region
+		}
+	}
+	return hosts
+}
+
 func cloneSet(set map[string]bool) map[string]bool {
 	clone := make(map[string]bool, len(set))
 	for key := range set {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -376,7 +376,7 @@
 	s.upstreamNames.Store(&names)
 	s.upstreamList.Store(&upstreams)
 	s.checkVersions(s.hostMembers.All())
-	hosts := newestIncarnations(s.servingHosts(s.clock()))
+	hosts := inRegions(newestIncarnations(s.servingHosts(s.clock())), s.settings.get().Regions)
 	s.hosts.Store(&hosts)
 	all, region := s.hostCounts()
 	s.regionHosts.Store(int64(region))
