routing: homes that can't be read allow no region

No region is now known to be its home. If only another field can't be read, the homes count. TestUnreadableHomesAllowNoRegionInLookups failed before.

--- a/internal/routing/homes.go
+++ b/internal/routing/homes.go
@@ -17,9 +17,17 @@
 	return Homes{restricted: len(regions) > 0, regions: regions}
 }
 
+// homesOfRoute returns the homes of a route.
+func homesOfRoute(route *Route) Homes {
+	if route.HomesUnread {
+		return Homes{restricted: true}
+	}
+	return NewHomes(route.HomeRegions)
+}
+
 // HomesOf returns the homes of the requests of account on route. Both bind; account may be nil.
 func HomesOf(route *Route, account *Account) Homes {
-	homes := NewHomes(route.HomeRegions)
+	homes := homesOfRoute(route)
 	if account != nil {
 		homes = homes.And(NewHomes(account.HomeRegions))
 	}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -37,6 +37,7 @@
 	Open             bool     // requests need no key
 	Sticky           bool     // upstreams serve recently used objects faster
 	HomeRegions      []string // regions that may serve the requests; empty allows all
+	HomesUnread      bool     // the homes can't be read, so that no region is known to be one
 	// Unusable is why no request on the route can be served; empty if requests can be. The
 	// route still hides those with shorter prefixes.
 	Unusable string
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -130,7 +130,7 @@
 func (t *Table) HomesOfName(host string) (homes Homes, known bool) {
 	routes := t.routes[hostName(host)]
 	for _, route := range routes {
-		homes = homes.And(NewHomes(route.HomeRegions))
+		homes = homes.And(homesOfRoute(route))
 	}
 	return homes, len(routes) > 0
 }
