gateway: a relayed request stays in the homes of both hosts

Callers of a host that was cut off from its upstreams had requests run outside their homes: the host relayed them, and the host that received them chose the upstream by its own homes alone, which were older, or took them though its newer policy no longer allowed its region. The sending host also chose all tries of a request by the homes that were in force at the first.

A relayed request now carries the homes of the sending host (field 12, which hosts of earlier builds neither send nor read); the receiving host intersects them with its own and refuses, before it reads the body, before each attempt and when it has a connection, a request that it may not hold. The refusal says that the request has not run, and does not make the sender leave that host out for others. The sender authorises again before each try.

--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -44,6 +44,9 @@
 	Tried     []string `cbor:"9,keyasint,omitempty"`  // IDs of the upstreams that the sending host tried
 	Counted   bool     `cbor:"10,keyasint,omitempty"` // the sending host counted the request for the retry budget
 	ElapsedMs int64    `cbor:"11,keyasint,omitempty"` // milliseconds since the request arrived from the caller
+	// Homes are the regions that may serve the request and hold its data under the policy of the
+	// sending host; empty: all. Hosts of earlier builds neither send nor read it.
+	Homes []string `cbor:"12,keyasint,omitempty"`
 }
 
 // requestHead precedes the body of a request.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -55,6 +55,7 @@
 	relayedBy   string         // name of the host from which this host has the request, empty if from the caller
 	relayedTo   string         // name of the host that sent the request, empty if none did
 	relayTried  []catalog.Host // hosts that were asked to send the request
+	relayHomes  routing.Homes  // homes under the policy of relayedBy
 }
 
 // serveRequest handles a request of a caller.
@@ -214,6 +215,10 @@
 	if !homes.Restricted() {
 		return nil
 	}
+	if !x.mayHold(homes) {
+		// TypeOverloaded, since the host can send other requests.
+		return notRunProblem(problem.TypeOverloaded, "the host is in "+x.gateway.settings.get().Region+", the homes are "+homes.String())
+	}
 	x.gateway.replica.NeedProof()
 	doubt, renewed := x.policyDoubt(proof)
 	switch {
@@ -325,8 +330,11 @@
 	return request
 }
 
-// homes returns the homes of the request under the policy in which its route was looked up last.
-func (x *exchange) homes() routing.Homes { return routing.HomesOf(x.route, x.account) }
+// homes returns the homes of the request under the policy in which its route was looked up last. A
+// relayed request has those of both hosts in common.
+func (x *exchange) homes() routing.Homes {
+	return routing.HomesOf(x.route, x.account).And(x.relayHomes)
+}
 
 // dispatch sends the request to one upstream after another until one responds, and
 // delivers the response. If none does, it returns the problem to respond with.
--- a/internal/gateway/relay_peers.go
+++ b/internal/gateway/relay_peers.go
@@ -8,6 +8,7 @@
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
+	"peridotrail/internal/routing"
 )
 
 const (
@@ -71,9 +72,9 @@
 }
 
 // acquire chooses the host with the fewest relayed requests, near ones first, and counts
-// one more. tried are the hosts that could not send the request. regionAllowed may be nil. ok is false if none can be asked. The caller must
-// call release.
-func (r *relayPeers) acquire(regionAllowed func(string) bool, tried []catalog.Host, now boottime.Instant) (peer relayPeer, ok bool) {
+// one more. Only hosts in homes are asked, and none of tried, which could not send the request. ok
+// is false if none can be asked. The caller must call release.
+func (r *relayPeers) acquire(homes routing.Homes, tried []catalog.Host, now boottime.Instant) (peer relayPeer, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rotation++
@@ -81,7 +82,7 @@
 	for i := range r.peers {
 		p := r.peers[(i+r.rotation)%len(r.peers)]
 		inflight := r.inflight[p.host.Name]
-		if inflight >= maxRelaysPerPeer || now < r.backoff[p.host.Name] || slices.ContainsFunc(tried, func(h catalog.Host) bool { return h.Name == p.host.Name }) || regionAllowed != nil && !regionAllowed(p.host.Region) {
+		if inflight >= maxRelaysPerPeer || now < r.backoff[p.host.Name] || slices.ContainsFunc(tried, func(h catalog.Host) bool { return h.Name == p.host.Name }) || !homes.Allows(p.host.Region) {
 			continue
 		}
 		cost := inflight
--- a/internal/gateway/relay_peers_test.go
+++ b/internal/gateway/relay_peers_test.go
@@ -9,6 +9,7 @@
 
 	"peridotrail/internal/boottime"
 	"peridotrail/internal/catalog"
+	"peridotrail/internal/routing"
 )
 
 const relayStart = boottime.Instant(time.Hour)
@@ -44,7 +45,7 @@
 			counts := map[string]int{}
 			const requests = 200
 			for range requests {
-				peer, ok := r.acquire(nil, nil, relayStart)
+				peer, ok := r.acquire(routing.Homes{}, nil, relayStart)
 				if !ok {
 					break // all hosts have as many as they may
 				}
@@ -76,14 +77,14 @@
 func TestHostsOfAnotherDomainAreAskedAfterOneThatIsCutOff(t *testing.T) {
 	for _, hosts := range []int{8, 83, 300} {
 		r := newTestPeers(hosts)
-		first, ok := r.acquire(nil, nil, relayStart)
+		first, ok := r.acquire(routing.Homes{}, nil, relayStart)
 		require.True(t, ok)
 		require.Equal(t, "west-a", first.host.FailureDomain)
 		r.release(first, true, relayStart)
-		second, ok := r.acquire(nil, []catalog.Host{first.host}, relayStart)
+		second, ok := r.acquire(routing.Homes{}, []catalog.Host{first.host}, relayStart)
 		require.True(t, ok)
 		require.Equal(t, "west-b", second.host.FailureDomain)
-		third, ok := r.acquire(nil, []catalog.Host{first.host, second.host}, relayStart)
+		third, ok := r.acquire(routing.Homes{}, []catalog.Host{first.host, second.host}, relayStart)
 		require.True(t, ok)
 		require.NotContains(t, []string{first.host.Name, second.host.Name}, third.host.Name)
 	}
@@ -91,7 +92,7 @@
 
 func TestNearHostsSendFirst(t *testing.T) {
 	r := newTestPeers(12)
-	peer, ok := r.acquire(nil, nil, relayStart)
+	peer, ok := r.acquire(routing.Homes{}, nil, relayStart)
 	require.True(t, ok)
 	require.Equal(t, "west-a", peer.host.FailureDomain)
 	require.NotEqual(t, "h-0", peer.host.Name, "a host does not relay to itself")
@@ -99,21 +100,21 @@
 
 func TestHostThatCouldNotSendIsNotAskedForAWhile(t *testing.T) {
 	r := newTestPeers(2)
-	peer, ok := r.acquire(nil, nil, relayStart)
+	peer, ok := r.acquire(routing.Homes{}, nil, relayStart)
 	require.True(t, ok)
 	r.release(peer, true, relayStart)
-	_, ok = r.acquire(nil, nil, relayStart.Add(peerBackoff-1))
+	_, ok = r.acquire(routing.Homes{}, nil, relayStart.Add(peerBackoff-1))
 	require.False(t, ok)
-	_, ok = r.acquire(nil, nil, relayStart.Add(peerBackoff))
+	_, ok = r.acquire(routing.Homes{}, nil, relayStart.Add(peerBackoff))
 	require.True(t, ok)
-	_, ok = r.acquire(nil, []catalog.Host{peer.host}, relayStart.Add(peerBackoff))
+	_, ok = r.acquire(routing.Homes{}, []catalog.Host{peer.host}, relayStart.Add(peerBackoff))
 	require.False(t, ok, "tried before")
 }
 
 func TestRequestsWithHomesStayInTheirRegions(t *testing.T) {
 	r := newTestPeers(12)
 	for range 20 {
-		peer, ok := r.acquire(func(region string) bool { return region == "east" }, nil, relayStart)
+		peer, ok := r.acquire(routing.NewHomes([]string{"east"}), nil, relayStart)
 		require.True(t, ok)
 		require.Equal(t, "east", peer.host.Region)
 	}
@@ -122,6 +123,6 @@
 func TestHostsWithoutRelaysAreNotAsked(t *testing.T) {
 	r := newRelayPeers("west-a", "west")
 	r.setHosts([]catalog.Host{{Name: "old", FailureDomain: "west-a", Region: "west"}}, "h-0")
-	_, ok := r.acquire(nil, nil, relayStart)
+	_, ok := r.acquire(routing.Homes{}, nil, relayStart)
 	require.False(t, ok)
 }
--- a/internal/gateway/relay_requests.go
+++ b/internal/gateway/relay_requests.go
@@ -15,6 +15,7 @@
 	"peridotrail/internal/fleet/relay"
 	"peridotrail/internal/http1"
 	"peridotrail/internal/problem"
+	"peridotrail/internal/routing"
 )
 
 const (
@@ -41,18 +42,11 @@
 // relay asks other hosts to send the request until one does. ok is false if none did; the
 // request has not run then.
 func (x *exchange) relay(ctx context.Context) (outcome attemptOutcome, ok bool) {
-	for x.mayRelay() {
-		if x.authoriseAttempt() != nil { // also between two hosts: the policy may change while one is asked
-			return attemptOutcome{}, false
-		}
-		var regionAllowed func(string) bool
-		if homes := x.homes(); homes.Restricted() {
-			regionAllowed = homes.Allows
-		}
+	for x.mayRelay() && x.authoriseAttempt() == nil { // the policy may have changed since the last try
 		if !x.payload.Rewind() {
 			break
 		}
-		peer, found := x.gateway.relays.peers.acquire(regionAllowed, x.relayTried, boottime.Now())
+		peer, found := x.gateway.relays.peers.acquire(x.homes(), x.relayTried, boottime.Now())
 		if !found {
 			break
 		}
@@ -78,7 +72,7 @@
 func (x *exchange) relayTo(ctx context.Context, peer relayPeer) (outcome attemptOutcome, unable bool, detail string) {
 	metadata := relay.Metadata{
 		Service: x.service, Idempotent: x.mayRepeat(), Counted: x.counted,
-		ElapsedMs: boottime.Now().Sub(x.start).Milliseconds(),
+		ElapsedMs: boottime.Now().Sub(x.start).Milliseconds(), Homes: x.homes().Regions(),
 	}
 	checked := context.WithValue(ctx, relayCheckKey{}, func() error { return x.checkHomesInForce(peer.host.Name, peer.host.Region) })
 	response, err := x.gateway.relays.client.Send(peer.address, metadata, x.relayedRequest(checked))
@@ -175,7 +169,7 @@
 		gateway: g, request: r, call: g.dialect.ReadCall(r),
 		start:     boottime.Now().Add(-time.Duration(max(origin.Metadata.ElapsedMs, 0)) * time.Millisecond),
 		relayedBy: string(origin.From.ID), counted: origin.Metadata.Counted, service: origin.Metadata.Service,
-		atMostOnce: !origin.Metadata.Idempotent,
+		atMostOnce: !origin.Metadata.Idempotent, relayHomes: routing.NewHomes(origin.Metadata.Homes),
 	}
 	x.serve(w)
 }
@@ -197,6 +191,12 @@
 	return nil
 }
 
+// mayHold reports whether this host may hold a request with the given homes. One that its caller
+// sent here it has already.
+func (x *exchange) mayHold(homes routing.Homes) bool {
+	return x.relayedBy == "" || homes.Allows(x.gateway.settings.get().Region)
+}
+
 // relayedProblem returns the problem to respond with to the host from which the request
 // comes. Problems of the route or the key are those of this host's policy, which may
 // differ from the other host's, so they only say that this host does not send it.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -141,7 +141,7 @@
 	if route == nil {
 		return x.homes()
 	}
-	return routing.HomesOf(route, table.AccountByKey(x.call.Key))
+	return routing.HomesOf(route, table.AccountByKey(x.call.Key)).And(x.relayHomes)
 }
 
 // checkSend reports whether the request may still be sent, now that it has a connection.
@@ -164,7 +164,7 @@
 func (x *exchange) checkHomesInForce(receiver, region string) error {
 	now, proof := boottime.Now(), x.gateway.replica.Proof()
 	if homes := x.homesInForce(); homes.Restricted() {
-		if doubt, _ := x.gateway.policyDoubt(proof, now); doubt != "" || !homes.Allows(region) {
+		if doubt, _ := x.gateway.policyDoubt(proof, now); doubt != "" || !homes.Allows(region) || !x.mayHold(homes) {
 			return &HomesError{Receiver: receiver, Region: region, Homes: homes, ProofAge: now.Sub(proof)}
 		}
 	}
