placement: an address of another upstream is not used again soon

An upstream that had answered 421 got no requests until any entry changed, and one more after each change; requests that waited for a connection to it were sent all the same. The 421 now counts for 5 s and also for requests that wait for a connection; one with homes is not sent to an upstream whose entry is gone. TestAddressOfAnotherUpstreamIsNotUsedAgainSoon failed before. The first request still arrives.

--- a/internal/placement/announcement.go
+++ b/internal/placement/announcement.go
@@ -121,7 +121,9 @@
 	if u.announced.leaving {
 		return &WithheldError{Upstream: u.ID, Reason: ReasonLeaving}
 	}
-	if known := p.pool.upstreams[u.ID]; known != nil && known.region != u.region {
+	known := p.pool.upstreams[u.ID]
+	gone := known == nil && p.request.RegionAllowed != nil // its address may be used again in another region
+	if gone || known != nil && known.region != u.region || now.Before(u.movedUntil) {
 		return &WithheldError{Upstream: u.ID, Reason: ReasonMoved}
 	}
 	return nil
--- a/internal/placement/errors.go
+++ b/internal/placement/errors.go
@@ -17,7 +17,7 @@
 	ReasonLimit      Reason = "limit"       // this host may send no more requests to upstreams with a request limit
 	ReasonRest       Reason = "rest"        // the upstreams have asked this host to send nothing for a while
 	ReasonLeaving    Reason = "leaving"     // the upstream said that its process ends
-	ReasonMoved      Reason = "moved"       // the upstream was moved to another region
+	ReasonMoved      Reason = "moved"       // the upstream is in another region, or its address belongs to another one
 	ReasonShift      Reason = "shift"       // only other regions have capacity, and the shift limit is reached
 )
 
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -108,7 +108,7 @@
 			u.assumeRestart(now, pool.settings.ColdStart(u.Service))
 		}
 	case OutcomeMoved:
-		u.Draining = true
+		u.Draining, u.movedUntil = true, now.Add(movedMemory)
 		p.service.rebuildIndex(pool.evacuated, pool.settings.FailureDomain)
 	case OutcomeExpired:
 		p.learnFromExpiry(now)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -112,7 +112,7 @@
 			u.ColdUntil = 0
 			u.peerRequests = float64(p.peerRequests[entry.ID])
 		}
-		u.Draining = entry.Draining || u.announced.leaving
+		u.Draining = entry.Draining || u.announced.leaving || now.Before(u.movedUntil)
 		u.reportedColdUntil = max(u.reportedColdUntil, entry.ColdUntil)
 		u.extendColdStart(entry.ColdUntil, known != nil, now)
 		if wasEvacuated[entry.FailureDomain] && !evacuated[entry.FailureDomain] {
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -95,6 +95,36 @@
 	require.False(t, ok, "the failure domain moved to another region")
 }
 
+// An upstream whose address had gone to another one, perhaps in another region, was sent a request again after each
+// change of any entry, and those that waited for a connection to it.
+func TestAddressOfAnotherUpstreamIsNotUsedAgainSoon(t *testing.T) {
+	all := []catalog.Upstream{entry("u", "a1")}
+	p := poolOf(nil, all...)
+	place := func(now boottime.Instant) (Placement, error) {
+		request := requestAt(now)
+		request.RegionAllowed = func(region string) bool { return region == "a" }
+		return p.Place(request, now)
+	}
+	first, err := place(t0)
+	require.NoError(t, err)
+	waiting, err := place(t0)
+	require.NoError(t, err)
+	require.NoError(t, waiting.CheckSend(t0))
+	first.Done(Report{Outcome: OutcomeMoved}, t0)
+	var withheld *WithheldError
+	require.ErrorAs(t, waiting.CheckSend(t0), &withheld)
+	p.SetUpstreams(all, nil, t0.Add(movedMemory-1))
+	_, err = place(t0.Add(movedMemory - 1))
+	require.Error(t, err)
+	p.SetUpstreams(all, nil, t0.Add(movedMemory))
+	again, err := place(t0.Add(movedMemory))
+	require.NoError(t, err, "a 421 may have been wrong")
+	p.SetUpstreams(nil, nil, t0.Add(movedMemory))
+	require.ErrorAs(t, again.CheckSend(t0.Add(movedMemory)), &withheld, "its entry is gone")
+	again.request.RegionAllowed = nil
+	require.NoError(t, again.CheckSend(t0.Add(movedMemory)), "a request without homes")
+}
+
 // A request whose homes were in other regions than its host was refused whenever the sample of a large service had no
 // upstream there.
 func TestRequestWithHomesIsOfferedToUpstreamsOfItsHomes(t *testing.T) {
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -45,6 +45,9 @@
 	coldSettleTime = 1 * time.Second
 	// entryDelay is the longest time between two writes of an upstream's entry.
 	entryDelay = 1500 * time.Millisecond
+	// movedMemory is how long a host sends nothing to an upstream whose address belongs to another one.
+	// The entry of an upstream that ended without notice is removed within three times entryDelay.
+	movedMemory = 5 * time.Second
 	// coldSlowdown is the factor on the service time of a cold upstream.
 	coldSlowdown = 2.0
 )
@@ -74,6 +77,7 @@
 	sends                  *sendCount
 	limit                  *requestLimit
 	announced              *announcements
+	movedUntil             boottime.Instant // its address belongs to another upstream, as far as is known until then
 	limitedUntil           boottime.Instant // see Pool.isLimited
 	reportedColdUntil      boottime.Instant // end of the cold start by its entry and its responses
 	warmIfCurrentAt        boottime.Instant // see Pool.isLimited, zero if it was never assumed to restart
