--- a/test/storelinks/fleet_test.go
+++ b/test/storelinks/fleet_test.go
@@ -211,11 +211,15 @@
 	h.process = nil
 }
 
-// stop asks the process to end and does not wait for that.
-func (h *host) stop() {
+// stop asks the process to end and does not wait for that. The channel is closed when the process
+// has ended.
+func (h *host) stop() (ended <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	_ = h.process.Process.Signal(syscall.SIGTERM) // it may have ended already
+	if h.process != nil {
+		_ = h.process.Process.Signal(syscall.SIGTERM) // it may have ended already
+	}
+	return h.ended
 }
 
 func (h *host) isReady() bool {
--- a/test/storelinks/judge_test.go
+++ b/test/storelinks/judge_test.go
@@ -20,11 +20,12 @@
 )
 
 // policy is one version of the policy: the service of the route /moved/, the routes /added-N/
-// and the keys key-N that it has, and a number of further routes.
+// and the keys key-N that it has, the homes, and a number of further routes.
 type policy struct {
 	version      int
 	moved        string
 	routes, keys map[int]bool
+	homes        homes
 	bulk         int
 }
 
@@ -42,6 +43,7 @@
 	}
 	route("/kept/", serviceA)
 	route("/moved/", p.moved)
+	p.homes.addTo(&d)
 	for n := range p.routes {
 		route(fmt.Sprintf("/added-%d/", n), serviceA)
 	}
@@ -108,6 +110,21 @@
 	j.versions[n].acked = time.Now()
 }
 
+// inForce returns the versions by which a host may decide between two instants: each from its write until
+// policyDelay after the acknowledgement of the next one.
+func (j *judge) inForce(from, to time.Time) []policy {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var found []policy
+	for i, v := range j.versions {
+		replaced := i+1 < len(j.versions) && from.Sub(j.versions[i+1].acked) > policyDelay
+		if !v.sent.After(to) && !replaced {
+			found = append(found, v.policy)
+		}
+	}
+	return found
+}
+
 // judge checks a response to a request sent at an instant: it must be what the newest version
 // acknowledged policyDelay before, or a newer one, says. Refusals that promise nothing about the
 // policy are counted only.
--- a/test/storelinks/storelinks_test.go
+++ b/test/storelinks/storelinks_test.go
@@ -46,8 +46,10 @@
 type trial struct {
 	*fleet
 	judge
-	serial atomic.Int64
-	kept   sync.Map // *keptCount by host name
+	homesJudge
+	serial    atomic.Int64
+	kept      sync.Map   // *keptCount by host name
+	homeMoves *rand.Rand // nil: homes stay as they are
 }
 
 // keptCount counts requests on the route that all versions have.
@@ -122,6 +124,9 @@
 			all[n] = true
 		}
 	}
+	if r.homeMoves != nil {
+		p.homes = movedHomes(r.homeMoves)
+	}
 	r.put(p, r.write)
 }
 
@@ -153,7 +158,8 @@
 			}
 		}
 	}
-	require.Empty(r.t, late)
+	assert.Empty(r.t, late)
+	r.reportHomes()
 }
 
 // Hosts that the store rejected kept an older policy beyond its delay, although other hosts had
@@ -311,8 +317,8 @@
 	return addresses
 }
 
-// TestStoreLinksSoak rejects hosts in overlapping series, kills some, drops the store's history and writes
-// policies in storms. One host always reaches the store; without one, no host can know of a policy.
+// TestStoreLinksSoak rejects hosts in overlapping series, kills some, stops whole regions by plan, drops the
+// store's history and writes policies in storms, which also move homes. One host always reaches the store; without one, no host can know of a policy.
 func TestStoreLinksSoak(t *testing.T) {
 	knownfailure.SkipIfListed(t)
 	if testing.Short() {
@@ -329,8 +335,10 @@
 	spared := r.hosts[random.IntN(len(r.hosts))]
 	ctx, stop := context.WithTimeout(context.Background(), *soakLength)
 	defer stop()
-	callers := r.probeAll(ctx)
+	r.homeMoves = rand.New(rand.NewPCG(seed, 2))
+	callers, homeCallers := r.probeAll(ctx), r.callAll(ctx, seed)
 	var troubles sync.WaitGroup
+	troubles.Go(func() { r.stopRegions(ctx, rand.New(rand.NewPCG(seed, 3)), regions[spared.domain]) })
 	storms := rand.New(rand.NewPCG(seed, 1))
 	troubles.Go(func() {
 		for ctx.Err() == nil {
@@ -404,6 +412,7 @@
 		wait(ctx, time.Duration(2000+random.IntN(5000))*time.Millisecond)
 	}
 	callers.Wait()
+	homeCallers.Wait()
 	troubles.Wait()
 	r.report()
 }
