gateway: look-ups of names without homes wait for no proof

While the policy could not be proved current, a look-up of a name without homes waited up to 250 ms for a proof that it did not need, and asked the store for it. Found by reading.

--- a/internal/gateway/lookup.go
+++ b/internal/gateway/lookup.go
@@ -73,7 +73,7 @@
 
 // farHosts returns the hosts for a caller in whose region no host is known, or why there are none.
 func farHosts(hosts []catalog.Host, name nameHomes) (far []catalog.Host, refusal string) {
-	if name.doubt != "" && (name.homes.Restricted() || !name.known) {
+	if name.doubt != "" && name.needsProof() {
 		return nil, "no entry host of the region is known, and the homes of the name may have changed: " + name.doubt
 	}
 	far = hostsWhere(hosts, func(h catalog.Host) bool { return name.homes.Allows(h.Region) })
@@ -90,6 +90,9 @@
 	doubt string        // why the policy may be outdated, empty if it is current
 }
 
+// needsProof reports whether hosts of other regions may be named only under a current policy.
+func (n nameHomes) needsProof() bool { return n.homes.Restricted() || !n.known }
+
 // nameHomes returns the homes of a host name. It waits for a proof that the policy is current if
 // the last one is too old.
 func (g *Gateway) nameHomes(ctx context.Context, name string) nameHomes {
@@ -105,9 +108,10 @@
 	}
 	now := boottime.Now()
 	found, stale := read(now)
-	if found.homes.Restricted() || !found.known {
-		g.replica.NeedProof()
+	if !found.needsProof() {
+		return found
 	}
+	g.replica.NeedProof()
 	if stale && g.awaitProof(ctx, now) {
 		found, _ = read(boottime.Now())
 	}
